--- /dev/null
+++ b/src/include/wagtailhead/log.h
@@ -0,0 +1,69 @@
+/// Structured logs: one line of key=value pairs for each event, written to standard error.
+#pragma once
+
+#include "wagtailhead/result.h"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace wagtailhead {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// One key=value pair of a log line. Values with spaces, quotes or control characters are quoted.
+class LogField {
+public:
+    LogField(std::string_view key, std::string_view value)
+        : key_(key)
+        , value_(value)
+    {
+    }
+    LogField(std::string_view key, const char* value)
+        : LogField(key, std::string_view(value))
+    {
+    }
+    LogField(std::string_view key, const std::string& value)
+        : LogField(key, std::string_view(value))
+    {
+    }
+    template <typename Number, typename = std::enable_if_t<std::is_arithmetic_v<Number>>>
+    LogField(std::string_view key, Number value)
+        : key_(key)
+        , value_(std::to_string(value))
+    {
+    }
+
+    auto key() const -> const std::string&
+    {
+        return key_;
+    }
+    auto value() const -> const std::string&
+    {
+        return value_;
+    }
+
+private:
+    std::string key_;
+    std::string value_;
+};
+
+/// Parses "debug", "info", "warning" or "error".
+auto parseLogLevel(std::string_view text) -> Result<LogLevel>;
+
+/// Sets up the sink once at program start; `program` appears in every line. Not thread safe.
+auto initLog(std::string_view program, LogLevel level) -> void;
+
+/// Writes one event. Thread safe; never blocks on anything but standard error.
+auto logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {}) -> void;
+
+/// Returns a value as it appears behind the equals sign of a log line.
+auto quoteLogValue(std::string_view value) -> std::string;
+
+} // namespace wagtailhead
