--- /dev/null
+++ b/src/libcall/admission.cpp
@@ -0,0 +1,383 @@
+#include "wagtailhead/admission.h"
+
+#include "admission_queue.h"
+#include "concurrency_limit.h"
+#include "level_control.h"
+#include "service_times.h"
+
+#include <algorithm>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace wagtailhead {
+
+namespace {
+
+constexpr int queuePlacesPerSlot = 2;
+constexpr int minQueueLimit = 16;
+
+struct RunningEntry {
+    std::uint64_t group_ = 0;
+    TimePoint startedAt_;
+};
+
+auto toSeconds(Duration duration) -> double
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+class AdmissionController::Impl {
+public:
+    explicit Impl(const AdmissionOptions& options)
+        : options_(options)
+        , limit_(ConcurrencyLimit::create(options))
+        , queue_(AdmissionQueue::create(options.queue_))
+        , levelControl_(LevelControl::create(options.shedding_))
+    {
+    }
+
+    auto arrive(const AdmissionCall& call, TimePoint now) -> AdmissionDecision
+    {
+        const std::lock_guard lock(mutex_);
+        ++stats_.arrived_;
+        levelControl_->onArrival(call.priority_, call.rootHash_, serviceTimes_.mean(call.group_));
+        AdmissionDecision decision;
+        advance(now, decision.others_);
+        if (const auto refusal = refuseAtOnce(call, now)) {
+            decision.refusal_ = *refusal;
+            countRefusal(*refusal);
+            return decision;
+        }
+        queue_->push({ call, now });
+        evictOverflow(call.id_, decision.others_);
+        startNext(now, decision.others_);
+        settle(now);
+        takeOut(call.id_, decision);
+        return decision;
+    }
+
+    auto finish(const FinishedCall& call, TimePoint now) -> AdmissionChange
+    {
+        const std::lock_guard lock(mutex_);
+        AdmissionChange change;
+        const auto found = running_.find(call.id_);
+        if (found == running_.end()) {
+            return change;
+        }
+        if (call.end_ == CallEnd::Completed) {
+            const auto total = now - found->second.startedAt_;
+            const auto subCalls = std::clamp(call.subCallTime_, Duration::zero(), total);
+            serviceTimes_.record(found->second.group_, total, now);
+            limit_->onCompletion(found->second.group_, total - subCalls, now);
+            ++stats_.completed_;
+        }
+        running_.erase(found);
+        advance(now, change);
+        startNext(now, change);
+        settle(now);
+        return change;
+    }
+
+    auto cancel(AdmissionId id, TimePoint now) -> AdmissionChange
+    {
+        const std::lock_guard lock(mutex_);
+        AdmissionChange change;
+        if (queue_->remove(id)) {
+            drop(id, RefusalReason::Cancelled, false, change);
+        }
+        advance(now, change);
+        startNext(now, change);
+        settle(now);
+        return change;
+    }
+
+    auto tick(TimePoint now) -> AdmissionChange
+    {
+        const std::lock_guard lock(mutex_);
+        AdmissionChange change;
+        advance(now, change);
+        startNext(now, change);
+        settle(now);
+        return change;
+    }
+
+    auto resize(int slots, int connections, TimePoint now) -> AdmissionChange
+    {
+        const std::lock_guard lock(mutex_);
+        options_.slots_ = slots;
+        options_.connections_ = connections;
+        limit_->resize(slots, connections);
+        AdmissionChange change;
+        advance(now, change);
+        startNext(now, change);
+        settle(now);
+        return change;
+    }
+
+    auto load() const -> LoadReport
+    {
+        const std::lock_guard lock(mutex_);
+        return { inFlight(), static_cast<int>(queue_->size()), limit_->settledLimit(),
+            levelControl_->level() };
+    }
+
+    auto stats() const -> AdmissionStats
+    {
+        const std::lock_guard lock(mutex_);
+        auto stats = stats_;
+        stats.limit_ = limit_->settledLimit();
+        stats.inFlight_ = inFlight();
+        stats.queued_ = static_cast<int>(queue_->size());
+        stats.level_ = levelControl_->level();
+        stats.serviceTime_ = serviceTimes_.overallMean();
+        stats.latencyRatio_ = limit_->latencyRatio();
+        return stats;
+    }
+
+private:
+    auto inFlight() const -> int
+    {
+        return static_cast<int>(running_.size());
+    }
+
+    auto queueLimit() const -> std::size_t
+    {
+        const int limit = options_.queueLimit_ > 0
+            ? options_.queueLimit_
+            : std::max(queuePlacesPerSlot * options_.slots_, minQueueLimit);
+        return static_cast<std::size_t>(limit);
+    }
+
+    /// Returns whether calls of this priority are refused here only, and not by the whole service.
+    auto isLocal(Priority priority) const -> bool
+    {
+        const auto& level = levelControl_->level();
+        return level == SheddingLevel {} || priority < level.priority_;
+    }
+
+    /// Drops what has become hopeless in the queue, and updates the level when it is due.
+    auto advance(TimePoint now, AdmissionChange& change) -> void
+    {
+        for (const auto& queued : queue_->takeExpired(now)) {
+            drop(queued, RefusalReason::Deadline, change);
+        }
+        for (const auto& queued : queue_->takeOverdue(now - queueTimeLimit(now))) {
+            drop(queued, RefusalReason::QueueTime, change);
+        }
+        if (levelControl_->isDue(now) && levelControl_->update(levelInput(), now)) {
+            for (const auto& queued : queue_->takeShed(levelControl_->level())) {
+                drop(queued, RefusalReason::Shed, change);
+            }
+        }
+    }
+
+    auto queueTimeLimit(TimePoint now) const -> Duration
+    {
+        const bool overloaded = queue_->size() > 0 && now - queueEmptyAt_ >= options_.overloadAfter_;
+        return overloaded ? std::max(options_.overloadQueueTime_, serviceTimes_.overallMean())
+                          : std::max(options_.queueTime_, serviceTimes_.overallMean());
+    }
+
+    auto levelInput() const -> LevelInput
+    {
+        LevelInput input { static_cast<double>(limit_->settledLimit()), {}, serviceTimes_.overallMean() };
+        for (std::size_t i = 0; i < priorityCount; ++i) {
+            input.queued_.at(i) = queue_->counts().at(i) * toSeconds(input.serviceTime_);
+        }
+        return input;
+    }
+
+    /// Returns the refusal of a call that is not even queued, if any.
+    auto refuseAtOnce(const AdmissionCall& call, TimePoint now) const -> std::optional<Refusal>
+    {
+        if (drops(levelControl_->level(), call.priority_, call.rootHash_)) {
+            return Refusal { call.id_, RefusalReason::Shed, false };
+        }
+        if (options_.queue_ == Mechanism::Naive) {
+            return std::nullopt;
+        }
+        if (!canMeetDeadline(call, now)) {
+            return Refusal { call.id_, RefusalReason::Deadline, false };
+        }
+        if (!canMeetDeadline(call, now + expectedWait(call.priority_))) {
+            return Refusal { call.id_, RefusalReason::Deadline, isLocal(call.priority_) };
+        }
+        return std::nullopt;
+    }
+
+    auto canMeetDeadline(const AdmissionCall& call, TimePoint startAt) const -> bool
+    {
+        return startAt + serviceTimes_.optimistic(call.group_, startAt) < call.deadline_;
+    }
+
+    /// Returns the time until the queued calls of at least this priority have started. Half of the
+    /// estimate is used, so that only hopeless calls are refused early.
+    auto expectedWait(Priority priority) const -> Duration
+    {
+        int ahead = 0;
+        for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); ++i) {
+            ahead += queue_->counts().at(i);
+        }
+        return serviceTimes_.overallMean() * ahead / (2 * std::max(limit_->settledLimit(), 1));
+    }
+
+    /// Drops the least important calls beyond the bound of the queue.
+    auto evictOverflow(AdmissionId arrived, AdmissionChange& change) -> void
+    {
+        if (options_.queue_ == Mechanism::Naive) {
+            return;
+        }
+        // A call that can start at once takes no place in the queue.
+        const auto free = static_cast<std::size_t>(
+            std::max(limit_->limit(queue_->front()->call_.priority_) - inFlight(), 0));
+        while (queue_->size() > queueLimit() + free) {
+            const auto victim = *queue_->back();
+            queue_->remove(victim.call_.id_);
+            const bool isNew = victim.call_.id_ == arrived;
+            drop(victim, isNew ? RefusalReason::QueueFull : RefusalReason::Evicted, change);
+        }
+    }
+
+    auto startNext(TimePoint now, AdmissionChange& change) -> void
+    {
+        while (const auto* next = queue_->front()) {
+            const auto call = next->call_;
+            if (inFlight() >= limit_->limit(call.priority_)) {
+                return;
+            }
+            queue_->remove(call.id_);
+            if (options_.queue_ != Mechanism::Naive && !canMeetDeadline(call, now)) {
+                drop(call.id_, RefusalReason::Deadline, isLocal(call.priority_), change);
+                continue;
+            }
+            running_[call.id_] = { call.group_, now };
+            ++stats_.started_;
+            change.start_.push_back(call.id_);
+        }
+    }
+
+    /// Passes the state after a decision on to the mechanisms.
+    auto settle(TimePoint now) -> void
+    {
+        if (queue_->size() == 0) {
+            queueEmptyAt_ = now;
+        }
+        limit_->onInFlight(inFlight(), queue_->size() > 0, now);
+    }
+
+    auto drop(const QueuedCall& queued, RefusalReason reason, AdmissionChange& change) -> void
+    {
+        const bool local = reason != RefusalReason::Shed && isLocal(queued.call_.priority_);
+        drop(queued.call_.id_, reason, local, change);
+    }
+
+    auto drop(AdmissionId id, RefusalReason reason, bool local, AdmissionChange& change) -> void
+    {
+        change.dropped_.push_back({ id, reason, local });
+        countRefusal(change.dropped_.back());
+    }
+
+    auto countRefusal(const Refusal& refusal) -> void
+    {
+        ++stats_.refused_.at(static_cast<std::size_t>(refusal.reason_));
+    }
+
+    /// Moves what was decided about the arrived call from the changes to the decision.
+    static auto takeOut(AdmissionId id, AdmissionDecision& decision) -> void
+    {
+        decision.action_ = AdmissionAction::Queue;
+        auto& change = decision.others_;
+        if (std::erase(change.start_, id) > 0) {
+            decision.action_ = AdmissionAction::Start;
+        }
+        const auto dropped
+            = std::find_if(change.dropped_.begin(), change.dropped_.end(), [id](const Refusal& refusal) {
+                  return refusal.id_ == id;
+              });
+        if (dropped != change.dropped_.end()) {
+            decision.action_ = AdmissionAction::Refuse;
+            decision.refusal_ = *dropped;
+            change.dropped_.erase(dropped);
+        }
+    }
+
+    mutable std::mutex mutex_;
+    AdmissionOptions options_;
+    std::unique_ptr<ConcurrencyLimit> limit_;
+    std::unique_ptr<AdmissionQueue> queue_;
+    std::unique_ptr<LevelControl> levelControl_;
+    ServiceTimes serviceTimes_;
+    std::unordered_map<AdmissionId, RunningEntry> running_;
+    TimePoint queueEmptyAt_;
+    AdmissionStats stats_;
+};
+
+AdmissionController::AdmissionController(const AdmissionOptions& options)
+    : impl_(std::make_unique<Impl>(options))
+{
+}
+
+AdmissionController::~AdmissionController() = default;
+
+auto AdmissionController::arrive(const AdmissionCall& call, TimePoint now) -> AdmissionDecision
+{
+    return impl_->arrive(call, now);
+}
+
+auto AdmissionController::finish(const FinishedCall& call, TimePoint now) -> AdmissionChange
+{
+    return impl_->finish(call, now);
+}
+
+auto AdmissionController::cancel(AdmissionId id, TimePoint now) -> AdmissionChange
+{
+    return impl_->cancel(id, now);
+}
+
+auto AdmissionController::tick(TimePoint now) -> AdmissionChange
+{
+    return impl_->tick(now);
+}
+
+auto AdmissionController::resize(int slots, int connections, TimePoint now) -> AdmissionChange
+{
+    return impl_->resize(slots, connections, now);
+}
+
+auto AdmissionController::load() const -> LoadReport
+{
+    return impl_->load();
+}
+
+auto AdmissionController::stats() const -> AdmissionStats
+{
+    return impl_->stats();
+}
+
+auto admissionCallOf(AdmissionId id, const CallContext& context, std::uint64_t group) -> AdmissionCall
+{
+    return { id, context.priority_, context.rootHash_, context.invested_, context.deadline_, group };
+}
+
+auto refusalReasonName(RefusalReason reason) -> const char*
+{
+    static constexpr std::array<const char*, refusalReasonCount> names { "shed", "queue-full", "evicted",
+        "queue-time", "deadline", "cancelled" };
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+auto naiveAdmissionOptions(int slots, int connections) -> AdmissionOptions
+{
+    AdmissionOptions options;
+    options.slots_ = slots;
+    options.connections_ = connections;
+    options.limit_ = Mechanism::Naive;
+    options.queue_ = Mechanism::Naive;
+    options.shedding_ = Mechanism::Naive;
+    return options;
+}
+
+} // namespace wagtailhead
