feat(net): add HTTP server on RESTinio and client on libcurl

The server reads through HttpConnection, which parses the stream ahead of RESTinio so that refused requests get an answer instead of a silent close. Adds HttpServer::address() for listening on port 0.

--- a/src/include/wagtailhead/http.h
+++ b/src/include/wagtailhead/http.h
@@ -76,6 +76,9 @@
 
     /// Stops accepting connections; open ones go on. Thread safe.
     virtual auto stopAccepting() -> void = 0;
+
+    /// Returns the bound address; the port is the real one if port 0 was asked for. Thread safe.
+    virtual auto address() const -> Address = 0;
 };
 
 struct HttpClientOptions {
--- /dev/null
+++ b/src/libnet/http_connection.cpp
@@ -0,0 +1,243 @@
+#include "http_connection.h"
+
+#include <asio/write.hpp>
+
+namespace wagtailhead {
+
+namespace {
+
+constexpr auto idleLimit = seconds(60);
+constexpr auto partialRequestLimit = seconds(10);
+/// Bounds one write; a caller that takes no bytes for this long is given up.
+constexpr auto writeLimit = seconds(30);
+/// A safety net above the longest deadline of a call (60 s), for handlers that never answer.
+constexpr auto handlerLimit = seconds(600);
+constexpr auto checkInterval = seconds(2);
+constexpr auto drainLimit = seconds(3);
+/// Covers what a caller has under way on a fast network, without serving an endless upload.
+constexpr std::size_t maxDrainedBytes = std::size_t { 16 } << 20;
+constexpr std::size_t drainBufferBytes = std::size_t { 16 } << 10;
+
+} // namespace
+
+auto CallerWatch::answer() -> bool
+{
+    std::function<void()> unused;
+    const std::lock_guard lock(mutex_);
+    if (answered_) {
+        return false;
+    }
+    answered_ = true;
+    unused.swap(callback_);
+    return true;
+}
+
+auto CallerWatch::onGone(std::function<void()> callback) -> void
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (answered_) {
+            return;
+        }
+        if (!gone_) {
+            callback_ = std::move(callback);
+            return;
+        }
+    }
+    callback();
+}
+
+auto CallerWatch::callerGone() -> void
+{
+    std::function<void()> callback;
+    {
+        const std::lock_guard lock(mutex_);
+        gone_ = true;
+        callback.swap(callback_);
+    }
+    if (callback) {
+        callback();
+    }
+}
+
+HttpConnection::HttpConnection(HttpSocket socket, std::shared_ptr<const HttpConnectionOptions> options)
+    : socket_(std::move(socket))
+    , timer_(socket_.get_executor())
+    , options_(std::move(options))
+    , inspector_(options_->maxBodyBytes_, options_->maxHeaderBytes_)
+    , idleSince_(Clock::now())
+{
+}
+
+auto HttpConnection::start() -> void
+{
+    asio::error_code ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    scheduleCheck();
+}
+
+auto HttpConnection::cancel() -> void
+{
+    asio::error_code ignored;
+    socket_.cancel(ignored);
+}
+
+auto HttpConnection::requestStarted(std::shared_ptr<CallerWatch> watch) -> void
+{
+    running_.push_back(std::move(watch));
+}
+
+auto HttpConnection::answerWritten(bool written) -> void
+{
+    writingSince_ = {};
+    idleSince_ = Clock::now();
+    requestSince_ = idleSince_;
+    if (!running_.empty()) {
+        running_.erase(running_.begin());
+    }
+    if (written) {
+        refuseAfterAnswers();
+    }
+}
+
+auto HttpConnection::inspect(asio::mutable_buffer buffer, std::size_t length) -> std::size_t
+{
+    const auto wasInside = inspector_.isInsideRequest();
+    const auto completed = inspector_.requestsCompleted();
+    const auto accepted = inspector_.inspect(static_cast<char*>(buffer.data()), length);
+    refusal_ = inspector_.refusal();
+    if (refusal_) {
+        return accepted;
+    }
+    if (!inspector_.isInsideRequest()) {
+        idleSince_ = Clock::now();
+    } else if (!wasInside || inspector_.requestsCompleted() != completed) {
+        requestSince_ = Clock::now();
+    }
+    if (inspector_.takeExpectsContinue() && running_.empty()) {
+        sendContinue();
+    }
+    return accepted;
+}
+
+auto HttpConnection::sendContinue() -> void
+{
+    static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::error_code ignored;
+    // No answer is under way, so the send buffer is empty and takes these few bytes whole.
+    socket_.write_some(asio::buffer(interim), ignored);
+}
+
+auto HttpConnection::refuseAfterAnswers() -> void
+{
+    // Written any earlier, the refusal would be taken for the answer to a request that is still running.
+    if (refusal_ && !closing_ && running_.empty()) {
+        refuse();
+    }
+}
+
+auto HttpConnection::refuse() -> void
+{
+    closing_ = true;
+    cancel();
+    refusalText_ = options_->refusalAnswer_(*refusal_);
+    drainUntil_ = Clock::now() + drainLimit;
+    asio::async_write(socket_, asio::buffer(refusalText_),
+        [self = shared_from_this()](asio::error_code error, std::size_t) {
+            if (error) {
+                self->closeNow();
+                return;
+            }
+            asio::error_code ignored;
+            self->socket_.shutdown(HttpSocket::shutdown_send, ignored);
+            self->drain();
+        });
+}
+
+auto HttpConnection::close() -> void
+{
+    if (closing_) {
+        return;
+    }
+    closing_ = true;
+    notifyCallersGone();
+    if (peerClosed_) {
+        closeNow();
+        return;
+    }
+    cancel();
+    drainUntil_ = Clock::now() + drainLimit;
+    asio::error_code ignored;
+    socket_.shutdown(HttpSocket::shutdown_send, ignored);
+    drain();
+}
+
+auto HttpConnection::drain() -> void
+{
+    if (drained_ > maxDrainedBytes) {
+        closeNow();
+        return;
+    }
+    drainBuffer_.resize(drainBufferBytes);
+    socket_.async_read_some(
+        asio::buffer(drainBuffer_), [self = shared_from_this()](asio::error_code error, std::size_t length) {
+            self->drained_ += length;
+            if (error) {
+                self->closeNow();
+            } else {
+                self->drain();
+            }
+        });
+}
+
+auto HttpConnection::closeNow() -> void
+{
+    closing_ = true;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    notifyCallersGone();
+}
+
+auto HttpConnection::notifyCallersGone() -> void
+{
+    for (const auto& watch : std::exchange(running_, {})) {
+        watch->callerGone();
+    }
+}
+
+auto HttpConnection::scheduleCheck() -> void
+{
+    timer_.expires_after(checkInterval);
+    timer_.async_wait([weak = weak_from_this()](asio::error_code error) {
+        if (const auto self = weak.lock(); self && !error) {
+            self->check();
+        }
+    });
+}
+
+auto HttpConnection::check() -> void
+{
+    if (!socket_.is_open()) {
+        return;
+    }
+    const auto now = Clock::now();
+    const auto isWriting = writingSince_ != TimePoint {};
+    if (closing_ ? now > drainUntil_ : isWriting && now > writingSince_ + writeLimit) {
+        closeNow();
+        return;
+    }
+    // While requests are running, the library may leave the next one unread.
+    const auto isReading = !closing_ && !refusal_ && running_.empty();
+    if (isReading && inspector_.isInsideRequest() && now > requestSince_ + partialRequestLimit) {
+        refusal_ = HttpRefusal::TooSlow;
+        refuseAfterAnswers();
+    } else if (!closing_ && now > idleSince_ + (running_.empty() ? Duration(idleLimit) : handlerLimit)) {
+        closeNow();
+        return;
+    }
+    scheduleCheck();
+}
+
+} // namespace wagtailhead
