--- a/src/include/wagtailhead/routing.h
+++ b/src/include/wagtailhead/routing.h
@@ -6,7 +6,7 @@
 ///     auto route = router->choose(*members->snapshot(), request, now, WallClock::now());
 ///     if (const auto* member = std::get_if<Member>(&route)) { send(*member); }
 ///     ...
-///     router->ended(member->ref_, { AttemptEnd::Answered, reply.load_, replyBytes }, now);
+///     router->ended(member->ref_, { AttemptEnd::Answered, priority, reply.load_, replyBytes }, now);
 ///
 /// Order of preference of the adaptive router:
 /// 1. the least loaded of two random members of the own zone, unless it is busy;
@@ -65,8 +65,10 @@
 
 struct AttemptReport {
     AttemptEnd end_ = AttemptEnd::Neutral;
+    /// The priority of the call.
+    Priority priority_ = Priority::Bulk;
     /// The load from the reply, if there was one.
-    std::optional<LoadReport> load_;
+    std::optional<LoadReport> load_ = std::nullopt;
     /// Size of the reply, charged to the link budget if it came from another region.
     std::size_t bytes_ = 0;
 };
