--- a/src/include/wagtailhead/retry.h
+++ b/src/include/wagtailhead/retry.h
@@ -41,6 +41,10 @@
     /// Charges one extra attempt. Returns false, and charges nothing, if nothing is left.
     auto charge() -> bool;
 
+    /// Takes everything that is left, to hand it back to the sender when the call ends. Sub-calls that
+    /// still run can only use what is given back to the counter later, which the sender never sees.
+    auto drain() -> int;
+
 private:
     std::atomic<int> left_;
 };
--- /dev/null
+++ b/src/include/wagtailhead/shedding.h
@@ -0,0 +1,95 @@
+/// What the nodes of callers know about the shedding levels of deep services.
+///
+/// Every reply lists the strictest level in the subtree of its call. The table keeps these levels by
+/// service and path group of the call, so that a root request that a deep service would drop is refused
+/// before any work is done for it:
+///
+///     table.learn(service, pathGroup, reply.subtreeLevel_, reply.subtreeService_, now);
+///     ...
+///     const auto answer = table.check(service, pathGroup, priority, rootHash, now);
+///     if (answer.verdict_ == LevelVerdict::Refuse) { ... }
+#pragma once
+
+#include "wagtailhead/call_context.h"
+#include "wagtailhead/clock.h"
+#include "wagtailhead/mechanism.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace wagtailhead {
+
+struct LevelTableOptions {
+    /// A level without a new report is forgotten after this time.
+    Duration expiry_ = seconds(2);
+    /// The strictest of the reports of about this time counts. Backend servers of one service report
+    /// slightly different levels, and without this time the level would follow every reply.
+    Duration hold_ = milliseconds(200);
+    /// Share of the refused roots that pass as probes, so that recovery is noticed.
+    double probeShare_ = 0.02;
+    /// Most pairs of service and path group; further ones are not learned.
+    std::size_t maxEntries_ = 10'000;
+    Mechanism mechanism_ = Mechanism::Adaptive; ///< Naive: everything passes.
+};
+
+enum class LevelVerdict : std::uint8_t {
+    Pass,
+    Probe, ///< Passes, although a deep service would probably refuse it.
+    Refuse,
+};
+
+struct LevelAnswer {
+    LevelVerdict verdict_ = LevelVerdict::Pass;
+    /// The strictest level known, and the service that reported it. Empty if none is known.
+    SheddingLevel level_;
+    std::string service_;
+};
+
+/// Levels by service and path group of a call. Thread safe: one mutex, held briefly.
+class LevelTable {
+public:
+    /// `seed` decides which refused roots pass as probes.
+    LevelTable(const LevelTableOptions& options, std::uint64_t seed);
+
+    /// Takes over the strictest level in the subtree of a call, as its reply lists it. `reporter` is the
+    /// service that computed the level; it may be the called service itself.
+    auto learn(const std::string& service, const std::string& pathGroup, const SheddingLevel& level,
+        const std::string& reporter, TimePoint now) -> void;
+
+    /// Answers whether a service in the subtree of this call would refuse its root.
+    auto check(const std::string& service, const std::string& pathGroup, Priority priority,
+        std::uint64_t rootHash, TimePoint now) -> LevelAnswer;
+
+    /// Returns the number of pairs of service and path group with a known level.
+    auto size() const -> std::size_t;
+
+private:
+    /// The strictest level of the present and of the previous hold period.
+    struct Report {
+        SheddingLevel present_;
+        SheddingLevel previous_;
+        TimePoint periodStart_;
+        TimePoint reportedAt_;
+
+        auto strictest() const -> const SheddingLevel&;
+    };
+
+    using Key = std::pair<std::string, std::string>;
+    /// Reports by the service that computed the level.
+    using Reports = std::map<std::string, Report>;
+
+    auto expire(Reports& reports, TimePoint now) const -> void;
+    auto expireAll(TimePoint now) -> void;
+
+    mutable std::mutex mutex_;
+    const LevelTableOptions options_;
+    std::mt19937_64 random_;
+    std::map<Key, Reports> entries_;
+};
+
+} // namespace wagtailhead
--- a/src/libcall/retry.cpp
+++ b/src/libcall/retry.cpp
@@ -127,6 +127,11 @@
     return true;
 }
 
+auto RetryAllowance::drain() -> int
+{
+    return left_.exchange(0);
+}
+
 RetryBudget::RetryBudget(RetryBudgetOptions options)
     : options_(options)
     , tokens_(options.burst_)
