feat(net): run the HTTP client on a strand and make server timeouts options

A thread that meets the busy client no longer blocks on a mutex; it leaves its work on the strand. HttpServerOptions gains errorHeadersFor_ (headers that depend on the reason), idleTimeout_ and requestTimeout_.

--- a/src/include/wagtailhead/http.h
+++ b/src/include/wagtailhead/http.h
@@ -58,11 +58,20 @@
     std::size_t maxHeaderBytes_ = std::size_t { 16 } << 10;
     /// Headers of the answers that the server itself gives: 400 malformed, 413 body, 431 headers.
     HttpHeaders errorHeaders_;
+    /// If set, returns further headers for one such answer, given its reason. Runs in any thread of the
+    /// context and must not block.
+    std::function<HttpHeaders(std::string_view reason)> errorHeadersFor_;
+    /// Connections without a request for this long are closed.
+    Duration idleTimeout_ = seconds(60);
+    /// A request that takes longer to arrive gets 408, and its connection is closed.
+    Duration requestTimeout_ = seconds(10);
 };
 
 /// An HTTP/1.1 server in the given Asio context. Malformed HTTP gets 400, a body over the limit 413
 /// and headers over the limit 431, each with `errorHeaders_` and a JSON body {"reason"}; such a
-/// connection is then closed without harm to any other.
+/// connection is then closed without harm to any other. Requests that came before on the same connection
+/// are answered first. Destroy the server when no thread runs the context, or keep what its handler uses
+/// until the context is gone.
 class HttpServer {
 public:
     /// Runs for every request, in a thread of the context. Must not block.
@@ -98,7 +107,8 @@
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
 
 /// An HTTP/1.1 client on libcurl's multi interface, driven by the given Asio context without threads of
-/// its own. Connections are kept open and reused. Thread safe.
+/// its own. Connections are kept open and reused. A request is never sent twice: it moves to another
+/// connection only if no byte of it was sent. Thread safe. The context must outlive the client.
 class HttpClient {
 public:
     using Callback = std::function<void(HttpResult)>;
--- a/src/libnet/curl_loop.cpp
+++ b/src/libnet/curl_loop.cpp
@@ -1,7 +1,9 @@
 #include "curl_loop.h"
 
 #include <algorithm>
-#include <asio/post.hpp>
+#include <asio/bind_executor.hpp>
+#include <asio/defer.hpp>
+#include <asio/dispatch.hpp>
 #include <sys/socket.h>
 
 namespace wagtailhead {
@@ -28,6 +30,7 @@
 
 CurlLoop::CurlLoop(asio::io_context& context, HttpClientOptions options)
     : context_(context)
+    , strand_(asio::make_strand(context))
     , options_(options)
     , timer_(context)
 {
@@ -46,6 +49,9 @@
 
 CurlLoop::~CurlLoop()
 {
+    for (const auto& [id, transfer] : active_) {
+        curl_multi_remove_handle(multi_, transfer->handle());
+    }
     if (multi_ != nullptr) {
         curl_multi_cleanup(multi_);
     }
@@ -54,78 +60,70 @@
 auto CurlLoop::send(const Address& address, HttpRequest request, Duration timeout,
     HttpClient::Callback callback) -> HttpClient::RequestId
 {
-    std::unique_lock lock(mutex_);
     const auto id = ++lastId_;
-    auto transfer = takeIdleTransfer();
-    lock.unlock();
-    transfer->id_ = id;
-    transfer->callback_ = std::move(callback);
-    const auto isValid = transfer->prepare(address, std::move(request), timeout);
-    lock.lock();
-    if (!isValid || isShutDown_) {
-        auto unsent = std::move(transfer->callback_);
-        lock.unlock();
-        asio::post(context_, [unsent = std::move(unsent)] {
-            unsent(HttpFailure::NotSent);
+    asio::dispatch(strand_,
+        [self = shared_from_this(), id, address, request = std::move(request), timeout,
+            callback = std::move(callback)]() mutable {
+            self->start(id, address, std::move(request), timeout, std::move(callback));
         });
-        return id;
-    }
-    auto* easy = transfer->handle();
-    active_.emplace(id, std::move(transfer));
-    curl_multi_add_handle(multi_, easy);
-    runDueTimeouts();
-    auto finished = takeFinished();
-    armTimer();
-    lock.unlock();
-    postFinished(std::move(finished));
     return id;
 }
 
 auto CurlLoop::cancel(HttpClient::RequestId id) -> void
 {
-    std::unique_lock lock(mutex_);
-    const auto found = active_.find(id);
-    if (found == active_.end()) {
+    asio::dispatch(strand_, [self = shared_from_this(), id] {
+        const auto found = self->active_.find(id);
+        if (found == self->active_.end()) {
+            return;
+        }
+        auto finished = self->finish(found->second->handle(), CURLE_ABORTED_BY_CALLBACK);
+        finished.result_ = HttpFailure::Cancelled;
+        self->report(std::move(finished));
+        self->settle(); // A request that waited for a free connection to the same host may start now.
+    });
+}
+
+auto CurlLoop::shutdown() -> void
+{
+    asio::dispatch(strand_, [self = shared_from_this()] {
+        self->cancelAll();
+    });
+}
+
+auto CurlLoop::start(HttpClient::RequestId id, const Address& address, HttpRequest request, Duration timeout,
+    HttpClient::Callback callback) -> void
+{
+    auto transfer = takeIdleTransfer();
+    transfer->id_ = id;
+    transfer->callback_ = std::move(callback);
+    if (isShutDown_ || !transfer->prepare(address, std::move(request), timeout)) {
+        report({ std::move(transfer->callback_), HttpFailure::NotSent });
         return;
     }
-    FinishedList finished;
-    finished.push_back(finish(found->second->handle(), CURLE_ABORTED_BY_CALLBACK));
-    finished.back().result_ = HttpFailure::Cancelled;
-    // A request that waited for a free connection to the same host may start now.
-    runDueTimeouts();
-    auto others = takeFinished();
-    std::move(others.begin(), others.end(), std::back_inserter(finished));
-    armTimer();
-    lock.unlock();
-    postFinished(std::move(finished));
+    auto* easy = transfer->handle();
+    active_.emplace(id, std::move(transfer));
+    curl_multi_add_handle(multi_, easy);
+    settle();
 }
 
-auto CurlLoop::shutdown() -> void
+auto CurlLoop::cancelAll() -> void
 {
-    std::unique_lock lock(mutex_);
     isShutDown_ = true;
-    FinishedList finished;
     while (!active_.empty()) {
-        finished.push_back(finish(active_.begin()->second->handle(), CURLE_ABORTED_BY_CALLBACK));
-        finished.back().result_ = HttpFailure::Cancelled;
-    }
-    if (multi_ != nullptr) {
-        curl_multi_cleanup(multi_);
-        multi_ = nullptr;
+        auto finished = finish(active_.begin()->second->handle(), CURLE_ABORTED_BY_CALLBACK);
+        finished.result_ = HttpFailure::Cancelled;
+        report(std::move(finished));
     }
-    idle_.clear();
+    curl_multi_cleanup(std::exchange(multi_, nullptr));
     timer_.cancel();
-    lock.unlock();
-    postFinished(std::move(finished));
 }
 
-auto CurlLoop::postFinished(FinishedList finished) -> void
+auto CurlLoop::report(Finished finished) -> void
 {
-    for (auto& one : finished) {
-        asio::post(context_, [one = std::move(one)]() mutable {
-            one.callback_(std::move(one.result_));
-        });
-    }
+    // Deferred work runs next in the same thread, without waking another one.
+    asio::defer(context_, [finished = std::move(finished)]() mutable {
+        finished.callback_(std::move(finished.result_));
+    });
 }
 
 auto CurlLoop::takeIdleTransfer() -> std::unique_ptr<CurlTransfer>
@@ -152,54 +150,36 @@
     return finished;
 }
 
-auto CurlLoop::takeFinished() -> FinishedList
-{
-    FinishedList finished;
-    int left = 0;
-    while (const auto* message = curl_multi_info_read(multi_, &left)) {
-        if (message->msg == CURLMSG_DONE) {
-            finished.push_back(finish(message->easy_handle, message->data.result));
-        }
-    }
-    return finished;
-}
-
-auto CurlLoop::runDueTimeouts() -> void
+auto CurlLoop::settle() -> void
 {
     for (int round = 0; round < maxTimeoutRounds && curlDue_ <= Clock::now(); ++round) {
         curlDue_ = TimePoint::max();
         int running = 0;
         curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
     }
+    int left = 0;
+    while (const auto* message = curl_multi_info_read(multi_, &left)) {
+        if (message->msg == CURLMSG_DONE) {
+            report(finish(message->easy_handle, message->data.result));
+        }
+    }
+    armTimer();
 }
 
 auto CurlLoop::armTimer() -> void
 {
     // A timer that fires too early only checks again, which is cheaper than to move it for each request.
-    if (curlDue_ >= timerDue_) {
+    if (curlDue_ >= timerDue_ || isShutDown_) {
         return;
     }
     timerDue_ = curlDue_;
     timer_.expires_at(timerDue_);
-    timer_.async_wait([self = shared_from_this()](asio::error_code error) {
-        self->onTimer(error);
-    });
-}
-
-auto CurlLoop::onTimer(asio::error_code error) -> void
-{
-    std::unique_lock lock(mutex_);
-    if (error || isShutDown_) {
-        return;
-    }
-    timerDue_ = TimePoint::max();
-    runDueTimeouts();
-    auto finished = takeFinished();
-    armTimer();
-    lock.unlock();
-    for (auto& one : finished) {
-        one.callback_(std::move(one.result_));
-    }
+    timer_.async_wait(asio::bind_executor(strand_, [self = shared_from_this()](asio::error_code error) {
+        if (!error) {
+            self->timerDue_ = TimePoint::max();
+            self->settle();
+        }
+    }));
 }
 
 auto CurlLoop::awaitSocket(const SocketPointer& socket) -> void
@@ -207,52 +187,44 @@
     using Descriptor = asio::posix::stream_descriptor;
     if (socket->wantsRead_ && !socket->awaitsRead_) {
         socket->awaitsRead_ = true;
-        socket->descriptor_.async_wait(
-            Descriptor::wait_read, [self = shared_from_this(), socket](asio::error_code error) {
+        socket->descriptor_.async_wait(Descriptor::wait_read,
+            asio::bind_executor(strand_, [self = shared_from_this(), socket](asio::error_code error) {
                 self->onReadable(socket, error);
-            });
+            }));
     }
     if (socket->wantsWrite_ && !socket->awaitsWrite_) {
         socket->awaitsWrite_ = true;
-        socket->descriptor_.async_wait(
-            Descriptor::wait_write, [self = shared_from_this(), socket](asio::error_code error) {
+        socket->descriptor_.async_wait(Descriptor::wait_write,
+            asio::bind_executor(strand_, [self = shared_from_this(), socket](asio::error_code error) {
                 self->onWritable(socket, error);
-            });
+            }));
     }
 }
 
 auto CurlLoop::onReadable(const SocketPointer& socket, asio::error_code error) -> void
 {
-    std::unique_lock lock(mutex_);
     socket->awaitsRead_ = false;
     if (socket->open_ && socket->wantsRead_) {
-        actOnSocket(std::move(lock), socket, error ? CURL_CSELECT_ERR : CURL_CSELECT_IN);
+        act(socket, error ? CURL_CSELECT_ERR : CURL_CSELECT_IN);
     }
 }
 
 auto CurlLoop::onWritable(const SocketPointer& socket, asio::error_code error) -> void
 {
-    std::unique_lock lock(mutex_);
     socket->awaitsWrite_ = false;
     if (socket->open_ && socket->wantsWrite_) {
-        actOnSocket(std::move(lock), socket, error ? CURL_CSELECT_ERR : CURL_CSELECT_OUT);
+        act(socket, error ? CURL_CSELECT_ERR : CURL_CSELECT_OUT);
     }
 }
 
-auto CurlLoop::actOnSocket(std::unique_lock<std::mutex> lock, const SocketPointer& socket, int events) -> void
+auto CurlLoop::act(const SocketPointer& socket, int events) -> void
 {
     int running = 0;
     curl_multi_socket_action(multi_, socket->descriptor_.native_handle(), events, &running);
-    runDueTimeouts();
-    auto finished = takeFinished();
+    settle();
     if (socket->open_) {
         awaitSocket(socket);
     }
-    armTimer();
-    lock.unlock();
-    for (auto& one : finished) {
-        one.callback_(std::move(one.result_));
-    }
 }
 
 auto CurlLoop::openSocket(void* self, curlsocktype, curl_sockaddr* address) -> curl_socket_t
--- a/src/libnet/curl_loop.h
+++ b/src/libnet/curl_loop.h
@@ -6,15 +6,17 @@
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <atomic>
 #include <memory>
-#include <mutex>
 #include <unordered_map>
 #include <vector>
 
 namespace wagtailhead {
 
-/// A multi handle with its sockets and timer. Thread safe: one mutex guards all of it, which libcurl
-/// requires; callbacks of requests run without it.
+/// A multi handle with its sockets and timer. libcurl must not be entered by two threads at once, so all of
+/// it runs on one strand: a thread that finds the strand busy leaves its work there instead of waiting.
+/// The public functions are thread safe. Callbacks of requests run outside the strand.
 class CurlLoop : public std::enable_shared_from_this<CurlLoop> {
 public:
     CurlLoop(asio::io_context& context, HttpClientOptions options);
@@ -50,38 +52,36 @@
         HttpClient::Callback callback_;
         HttpResult result_;
     };
-    using FinishedList = std::vector<Finished>;
 
     static auto openSocket(void* self, curlsocktype, curl_sockaddr* address) -> curl_socket_t;
     static auto closeSocket(void* self, curl_socket_t descriptor) -> int;
     static auto onSocketInterest(CURL* easy, curl_socket_t descriptor, int what, void* self, void*) -> int;
     static auto onTimerChange(CURLM*, long timeoutMs, void* self) -> int;
 
-    // The functions below need the mutex held.
+    // Everything below runs on the strand.
+    auto start(HttpClient::RequestId id, const Address& address, HttpRequest request, Duration timeout,
+        HttpClient::Callback callback) -> void;
+    auto cancelAll() -> void;
     auto awaitSocket(const SocketPointer& socket) -> void;
-    auto runDueTimeouts() -> void;
+    auto onReadable(const SocketPointer& socket, asio::error_code error) -> void;
+    auto onWritable(const SocketPointer& socket, asio::error_code error) -> void;
+    auto act(const SocketPointer& socket, int events) -> void;
+    /// Runs what libcurl wants run by now, reports finished requests and sets the timer.
+    auto settle() -> void;
     auto armTimer() -> void;
-    auto takeFinished() -> FinishedList;
     auto finish(CURL* easy, CURLcode code) -> Finished;
+    auto report(Finished finished) -> void;
     auto takeIdleTransfer() -> std::unique_ptr<CurlTransfer>;
 
-    // The functions below take the mutex.
-    auto onReadable(const SocketPointer& socket, asio::error_code error) -> void;
-    auto onWritable(const SocketPointer& socket, asio::error_code error) -> void;
-    auto onTimer(asio::error_code error) -> void;
-
-    auto actOnSocket(std::unique_lock<std::mutex> lock, const SocketPointer& socket, int events) -> void;
-    auto postFinished(FinishedList finished) -> void;
-
     asio::io_context& context_;
+    asio::strand<asio::io_context::executor_type> strand_;
     const HttpClientOptions options_;
-    std::mutex mutex_;
     CURLM* multi_ = nullptr;
     asio::steady_timer timer_;
     TimePoint curlDue_ = TimePoint::max(); ///< When libcurl wants to be called.
     TimePoint timerDue_ = TimePoint::max(); ///< When `timer_` fires; never later than `curlDue_`.
     bool isShutDown_ = false;
-    HttpClient::RequestId lastId_ = 0;
+    std::atomic<HttpClient::RequestId> lastId_ = 0;
     std::unordered_map<HttpClient::RequestId, std::unique_ptr<CurlTransfer>> active_;
     std::vector<std::unique_ptr<CurlTransfer>> idle_;
     std::unordered_map<curl_socket_t, SocketPointer> sockets_;
--- a/src/libnet/curl_transfer.cpp
+++ b/src/libnet/curl_transfer.cpp
@@ -135,7 +135,8 @@
     for (const auto& [name, value] : request_.headers_) {
         if (!isOneOf(name, { "content-length", "transfer-encoding", "connection", "expect" })) {
             // libcurl takes "Name:" as an order to leave the header out and "Name;" as an empty value.
-            appendHeader(value.empty() ? name + ";" : name + ": " + value);
+            auto line = name;
+            appendHeader(value.empty() ? line.append(";") : line.append(": ").append(value));
         }
     }
     // libcurl adds these on its own unless told otherwise.
--- a/src/libnet/http_connection.cpp
+++ b/src/libnet/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "http_connection.h"
 
+#include <algorithm>
 #include <asio/write.hpp>
 
 namespace wagtailhead {
@@ -11,7 +12,7 @@
 /// Bounds one write; a caller that takes no bytes for this long is given up.
 constexpr auto writeLimit = seconds(30);
 /// A safety net above the longest deadline of a call (60 s), for handlers that never answer.
-constexpr auto handlerLimit = seconds(600);
+constexpr Duration handlerLimit = seconds(600);
 constexpr auto checkInterval = seconds(2);
 constexpr auto drainLimit = seconds(3);
 /// Covers what a caller has under way on a fast network, without serving an endless upload.
@@ -209,7 +210,8 @@
 
 auto HttpConnection::scheduleCheck() -> void
 {
-    timer_.expires_after(checkInterval);
+    const auto shortest = std::min(options_->idleTimeout_, options_->requestTimeout_);
+    timer_.expires_after(std::min(maxCheckInterval, shortest / checksPerTimeout));
     timer_.async_wait([weak = weak_from_this()](asio::error_code error) {
         if (const auto self = weak.lock(); self && !error) {
             self->check();
@@ -230,10 +232,10 @@
     }
     // While requests are running, the library may leave the next one unread.
     const auto isReading = !closing_ && !refusal_ && running_.empty();
-    if (isReading && inspector_.isInsideRequest() && now > requestSince_ + partialRequestLimit) {
+    if (isReading && inspector_.isInsideRequest() && now > requestSince_ + options_->requestTimeout_) {
         refusal_ = HttpRefusal::TooSlow;
         refuseAfterAnswers();
-    } else if (!closing_ && now > idleSince_ + (running_.empty() ? Duration(idleLimit) : handlerLimit)) {
+    } else if (!closing_ && now > idleSince_ + (running_.empty() ? options_->idleTimeout_ : handlerLimit)) {
         closeNow();
         return;
     }
--- a/src/libnet/http_connection.h
+++ b/src/libnet/http_connection.h
@@ -45,6 +45,8 @@
 struct HttpConnectionOptions {
     std::size_t maxBodyBytes_ = 0;
     std::size_t maxHeaderBytes_ = 0;
+    Duration idleTimeout_ = Duration::zero();
+    Duration requestTimeout_ = Duration::zero();
     RefusalAnswer refusalAnswer_;
 };
 
