--- a/src/libnet/http_connection.cpp
+++ b/src/libnet/http_connection.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-constexpr auto idleLimit = seconds(60);
-constexpr auto partialRequestLimit = seconds(10);
 /// Bounds one write; a caller that takes no bytes for this long is given up.
 constexpr auto writeLimit = seconds(30);
 /// A safety net above the longest deadline of a call (60 s), for handlers that never answer.
 constexpr Duration handlerLimit = seconds(600);
-constexpr auto checkInterval = seconds(2);
+/// Each connection wakes up once per interval, so a short one costs processor time.
+constexpr Duration maxCheckInterval = seconds(2);
+constexpr int checksPerTimeout = 5;
 constexpr auto drainLimit = seconds(3);
 /// Covers what a caller has under way on a fast network, without serving an endless upload.
 constexpr std::size_t maxDrainedBytes = std::size_t { 16 } << 20;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -207,15 +207,20 @@
     return 400;
 }
 
-auto refusalText(const HttpHeaders& headers, HttpRefusal refusal) -> std::string
+auto refusalText(const HttpServerOptions& options, HttpRefusal refusal) -> std::string
 {
     const auto body = nlohmann::json { { "reason", reasonOf(refusal) } }.dump();
     restinio::http_response_header_t header(statusLine(statusOf(refusal)));
     header.should_keep_alive(false);
     header.content_length(body.size());
     header.add_field(restinio::http_field::content_type, "application/json");
-    for (const auto& [name, value] : headers) {
-        header.add_field(name, value);
+    auto headers = options.errorHeaders_;
+    if (options.errorHeadersFor_) {
+        auto more = options.errorHeadersFor_(reasonOf(refusal));
+        std::move(more.begin(), more.end(), std::back_inserter(headers));
+    }
+    for (auto& [name, value] : headers) {
+        header.add_field(std::move(name), std::move(value));
     }
     return restinio::impl::create_header_string(header) + body;
 }
@@ -232,10 +237,11 @@
         auto connectionOptions = std::make_shared<HttpConnectionOptions>();
         connectionOptions->maxBodyBytes_ = options.maxBodyBytes_;
         connectionOptions->maxHeaderBytes_ = options.maxHeaderBytes_;
-        connectionOptions->refusalAnswer_
-            = [headers = std::move(options.errorHeaders_)](HttpRefusal refusal) {
-                  return refusalText(headers, refusal);
-              };
+        connectionOptions->idleTimeout_ = options.idleTimeout_;
+        connectionOptions->requestTimeout_ = options.requestTimeout_;
+        connectionOptions->refusalAnswer_ = [options = std::move(options)](HttpRefusal refusal) {
+            return refusalText(options, refusal);
+        };
         connectionOptions_ = std::move(connectionOptions);
     }
 
