--- /dev/null
+++ b/src/libledger/key_blocks.h
@@ -0,0 +1,36 @@
+/// Keys whose attempts accepted so far must never start.
+#pragma once
+
+#include "wagtailhead/ledger_limits.h"
+#include "wagtailhead/messages.h"
+
+#include <map>
+#include <string>
+
+namespace wagtailhead {
+
+/// The blocked keys of one shard table. A block refuses every attempt of its key that was accepted before
+/// a certain time (its limit); "not run" may be told until `datingSlack` before that limit.
+class BlockTable {
+public:
+    /// Blocks the attempts accepted until now and within `notRunWindow` from now.
+    auto block(const std::string& key, TimePoint now) -> void;
+
+    /// Returns whether an attempt accepted at `acceptedAt` is refused.
+    auto refuses(const std::string& key, TimePoint acceptedAt) const -> bool;
+
+    /// Returns until when "not run" may be told for the key; a time in the past if it is not blocked.
+    auto notRunUntil(const std::string& key) const -> TimePoint;
+
+    /// Returns the blocks with the rest of their lives, to be merged in elsewhere.
+    auto remaining(TimePoint now) const -> KeyBlocks;
+    auto merge(const KeyBlocks& blocks, TimePoint now) -> void;
+
+    auto purge(TimePoint now) -> void;
+    auto size() const -> std::size_t;
+
+private:
+    std::map<std::string, TimePoint> limits_;
+};
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libledger/witnessed_shard.h
@@ -0,0 +1,82 @@
+/// The tables that a witness keeps for one shard.
+#pragma once
+
+#include "key_blocks.h"
+#include "record_table.h"
+#include "wagtailhead/witness.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wagtailhead {
+
+/// The copy of one owner's table in one epoch.
+struct WitnessTable {
+    explicit WitnessTable(std::size_t& bytes)
+        : records_(bytes)
+    {
+    }
+
+    /// The record of a key that has not finished, made by the owner in this epoch.
+    struct OwnRecord {
+        AttemptId attempt_;
+        std::uint64_t round_ = 0;
+    };
+
+    EpochMembers members_;
+    std::vector<EpochMembers> bases_;
+    std::uint64_t copy_ = 0;
+    std::uint64_t nextPart_ = 0;
+    bool complete_ = false; ///< All parts of the copy have arrived.
+    bool active_ = false; ///< The epoch is known to have begun.
+    bool sealed_ = false;
+    RecordTable records_;
+    BlockTable blocks_;
+    std::map<std::string, OwnRecord> own_;
+};
+
+/// All tables of one shard. Tables of different owners in the same epoch number, which exist if a store
+/// forgets a write, are kept apart. Not thread safe.
+class WitnessedShard {
+public:
+    WitnessedShard(const NodeRef& self, const WitnessLedgerOptions& options, std::size_t& bytes);
+
+    auto onRecord(const RecordStart& record, TimePoint now) -> RecordAck;
+    auto onOutcome(const RecordOutcome& outcome, TimePoint now) -> void;
+    auto onFence(const Fence& fence, TimePoint now) -> FenceReply;
+    auto onSeal(const Seal& seal, TimePoint now) -> SealReply;
+    auto onInstall(const Install& install, TimePoint now) -> InstallAck;
+    auto onCommit(const Commit& commit) -> CommitAck;
+    auto onMapRecord(const ShardRecord& record) -> void;
+    auto tick(TimePoint now) -> void;
+    auto appendInfos(const std::string& service, const std::string& shard,
+        std::vector<WitnessedShardInfo>& infos) const -> void;
+
+private:
+    using TableKey = std::pair<std::uint64_t, NodeRef>;
+
+    auto find(std::uint64_t epoch, const NodeRef& owner) -> WitnessTable*;
+    auto highestEpoch() const -> std::uint64_t;
+    auto isSuperseded(std::uint64_t epoch, const NodeRef& owner) const -> bool;
+    auto refuse(const char* reason) const -> RecordAck;
+    auto accept(const EpochMembers& members) -> void;
+    auto storeRecord(WitnessTable& table, const RecordStart& record, TimePoint now) -> RecordAck;
+    auto takeCopy(WitnessTable& table, const Install& install, TimePoint now) -> bool;
+
+    const NodeRef& self_;
+    const WitnessLedgerOptions& options_;
+    std::size_t& bytes_;
+    /// The highest epoch that this node has accepted as begun, from a Commit or from a record of its
+    /// active owner.
+    EpochMembers accepted_;
+    /// The highest epoch heard of from the map.
+    EpochMembers heard_;
+    std::map<TableKey, std::unique_ptr<WitnessTable>> tables_;
+    std::map<TableKey, TimePoint> supersededSince_;
+};
+
+} // namespace wagtailhead
