feat(presence): membership protocol as a pure state machine

SWIM probing with indirect probes, suspicion and refutation, incarnation rule, piggybacked events within a byte budget, urgent pushes, bucketed anti-entropy and rejoining through seeds and addresses of vanished members.

--- a/src/include/wagtailhead/settings.h
+++ b/src/include/wagtailhead/settings.h
@@ -74,7 +74,8 @@
     std::string ip_;
     std::uint16_t port_ = 0;
 
-    auto operator<=>(const Address&) const = default;
+    // clang-tidy 14 takes the 0 of the generated comparison for a pointer.
+    auto operator<=>(const Address&) const = default; // NOLINT(modernize-use-nullptr)
     auto text() const -> std::string
     {
         return ip_ + ":" + std::to_string(port_);
--- /dev/null
+++ b/src/libpresence/membership_core.cpp
@@ -0,0 +1,362 @@
+#include "membership_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wagtailhead {
+
+namespace {
+
+/// A requested value that has not arrived by then is asked for again with the next notice.
+constexpr Duration wantTimeout = seconds(1);
+
+} // namespace
+
+MembershipProtocol::Core::Core(Member self, MembershipOptions options, std::uint64_t seed, TimePoint now)
+    : options_(options)
+    , self_ { std::move(self), false }
+    , random_(seed)
+    , sampler_(self_.member_.region_, options.farEvery_)
+    , lastCall_(now)
+    , nextProbe_(now
+          + std::uniform_int_distribution<Duration::rep>(0, options.probeInterval_.count())(random_)
+              * Duration(1))
+    , nextSync_(now + options.joinInterval_)
+    , nextDial_(now)
+    , syncBackoff_(options.joinInterval_)
+    , pushTokens_(static_cast<double>(options.pushBurstBytes_))
+    , pushTokensAt_(now)
+{
+    self_.member_.sequence_ = 1;
+    self_.member_.state_ = MemberState::Alive;
+    accountSelf();
+}
+
+auto MembershipProtocol::Core::addPeers(TimePoint now, const std::vector<SeedAddress>& peers) -> void
+{
+    noticeTime(now);
+    rejoin_.addPeers(peers);
+    if (members_.liveCount() == 0) {
+        nextDial_ = now;
+    }
+}
+
+auto MembershipProtocol::Core::addSeeds(TimePoint now, const std::vector<SeedAddress>& seeds) -> void
+{
+    noticeTime(now);
+    rejoin_.addSeeds(seeds);
+    if (members_.liveCount() == 0) {
+        nextDial_ = now;
+    }
+}
+
+auto MembershipProtocol::Core::tick(TimePoint now) -> void
+{
+    noticeTime(now);
+    if (replacedBy_) {
+        return;
+    }
+    runMemberTimers(now);
+    runDial(now);
+    runProbes(now);
+    runSync(now);
+    pushIfUrgent(now);
+}
+
+auto MembershipProtocol::Core::nextWake() const -> TimePoint
+{
+    if (replacedBy_) {
+        return TimePoint::max();
+    }
+    auto wake = std::min({ nextProbe_, nextSync_, nextDial_, members_.nextTimer() });
+    if (urgent_) {
+        const auto deficit = std::max(0.0, -pushTokens_) / static_cast<double>(options_.pushBytesPerSecond_);
+        wake = std::min(wake,
+            pushTokensAt_ + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(deficit))
+                + milliseconds(1));
+    }
+    return wake;
+}
+
+auto MembershipProtocol::Core::onRequest(TimePoint now, std::uint64_t token, const GossipMessage& message)
+    -> void
+{
+    noticeTime(now);
+    auto answer = makeMessage(GossipKind::Reply, message.sender_.member_.ref_);
+    if (isStale(message)) {
+        ++stats_.staleMessages_;
+        reply(token, std::move(answer));
+        return;
+    }
+    const bool sync = message.kind_ == GossipKind::SyncDigest || message.kind_ == GossipKind::SyncDelta;
+    absorb(now, message, sync ? Source::Sync : Source::Gossip);
+    if (message.kind_ == GossipKind::IndirectProbe) {
+        relayProbe(now, token, message);
+        pushIfUrgent(now);
+        return;
+    }
+    // The note about the requester may have changed with what it told.
+    answer = makeMessage(GossipKind::Reply, message.sender_.member_.ref_);
+    askForNotices(now, message.notices_, answer);
+    answerWants(message, answer);
+    if (message.kind_ == GossipKind::SyncDigest) {
+        describeBuckets(message, answer);
+    } else {
+        fillEvents(answer);
+    }
+    reply(token, std::move(answer));
+    pushIfUrgent(now);
+}
+
+auto MembershipProtocol::Core::onReply(TimePoint now, std::uint64_t requestId, const GossipMessage& message)
+    -> void
+{
+    noticeTime(now);
+    const auto taken = pending_.extract(requestId);
+    if (taken.empty()) {
+        return;
+    }
+    const auto& pending = taken.mapped();
+    if (isStale(message)) {
+        ++stats_.staleMessages_;
+        requestFailed(now, pending);
+        return;
+    }
+    const bool sync = pending.purpose_ == Purpose::Sync || pending.purpose_ == Purpose::SyncDelta;
+    absorb(now, message, !sync ? Source::Gossip : joined_ ? Source::Sync : Source::Join);
+    const bool fromTarget = message.sender_.member_.ref_ == pending.target_;
+    switch (pending.purpose_) {
+    case Purpose::DirectProbe:
+        fromTarget ? probeSucceeded(pending.reference_) : probeFailed(now, pending.reference_);
+        break;
+    case Purpose::IndirectProbe:
+        message.reached_ ? probeSucceeded(pending.reference_) : probeFailed(now, pending.reference_);
+        break;
+    case Purpose::RelayedProbe:
+        reportRelayed(pending, fromTarget);
+        break;
+    case Purpose::Sync:
+        compareSummaries(now, pending, message);
+        break;
+    case Purpose::SyncDelta:
+        if (message.more_ || pending.more_) {
+            startSync(now, pending.to_, pending.target_, pending.reference_ + 1);
+        }
+        break;
+    case Purpose::Recheck:
+    case Purpose::Push:
+        break;
+    }
+    followUp(now, pending, message);
+    pushIfUrgent(now);
+}
+
+auto MembershipProtocol::Core::onFailure(TimePoint now, std::uint64_t requestId) -> void
+{
+    noticeTime(now);
+    if (const auto taken = pending_.extract(requestId); !taken.empty()) {
+        requestFailed(now, taken.mapped());
+        pushIfUrgent(now);
+    }
+}
+
+auto MembershipProtocol::Core::requestFailed(TimePoint now, const Pending& pending) -> void
+{
+    switch (pending.purpose_) {
+    case Purpose::DirectProbe:
+    case Purpose::IndirectProbe:
+        // A failure that is reported late says more about this process than about the target.
+        if (now - pending.sentAt_ <= pending.timeout_ + options_.pauseThreshold_) {
+            probeFailed(now, pending.reference_);
+        } else {
+            probes_.erase(pending.reference_);
+        }
+        break;
+    case Purpose::RelayedProbe:
+        reportRelayed(pending, false);
+        break;
+    case Purpose::Recheck:
+    case Purpose::Push:
+    case Purpose::Sync:
+    case Purpose::SyncDelta:
+        break;
+    }
+}
+
+auto MembershipProtocol::Core::followUp(TimePoint now, const Pending& pending, const GossipMessage& message)
+    -> void
+{
+    GossipMessage content;
+    answerWants(message, content);
+    askForNotices(now, message.notices_, content);
+    if (content.items_.empty() && content.members_.empty() && content.wantedItems_.empty()) {
+        return;
+    }
+    auto push = makeMessage(GossipKind::Push, message.sender_.member_.ref_);
+    push.items_ = std::move(content.items_);
+    push.members_.insert(push.members_.end(), content.members_.begin(), content.members_.end());
+    push.wantedItems_ = std::move(content.wantedItems_);
+    Pending next { Purpose::Push, pending.to_, push.target_, 0, now, options_.syncTimeout_ };
+    send(now, std::move(next), std::move(push));
+}
+
+auto MembershipProtocol::Core::publish(TimePoint now, const VersionedItem& item) -> bool
+{
+    noticeTime(now);
+    if (!items_.apply(item)) {
+        return false;
+    }
+    source_ = Source::Gossip;
+    announceItem(item.key_);
+    urgentFrom_.clear();
+    urgent_ = true;
+    pushIfUrgent(now);
+    return true;
+}
+
+auto MembershipProtocol::Core::noticeTime(TimePoint now) -> void
+{
+    const auto gap = now - lastCall_;
+    lastCall_ = std::max(lastCall_, now);
+    if (gap <= options_.probeInterval_ + options_.pauseThreshold_) {
+        return;
+    }
+    // This process was paused: outcomes of probes sent before mean nothing, and members had no chance
+    // to refute suspicions here.
+    ++stats_.pausesNoticed_;
+    probes_.clear();
+    prolongSuspicions(now);
+    nextProbe_ = now + options_.probeInterval_;
+}
+
+auto MembershipProtocol::Core::makeMessage(GossipKind kind, NodeRef target) const -> GossipMessage
+{
+    GossipMessage message;
+    message.kind_ = kind;
+    message.sender_ = self_;
+    const auto* entry = members_.find(target.id_);
+    if (entry && entry->member_.ref_ == target
+        && (entry->member_.state_ == MemberState::Suspect || !isLive(*entry))) {
+        message.notes_.push_back(noteOf(entry->member_));
+    } else if (entry && entry->member_.ref_.incarnation_ > target.incarnation_) {
+        // Tells a process that its id is in use by a later one.
+        message.members_.push_back(recordOf(*entry));
+    }
+    if (kind != GossipKind::Reply) {
+        message.target_ = std::move(target);
+    }
+    return message;
+}
+
+auto MembershipProtocol::Core::send(TimePoint now, Pending pending, GossipMessage message) -> void
+{
+    pending.sentAt_ = now;
+    const auto id = nextId_++;
+    output_.requests_.push_back({ id, pending.to_, std::move(message), pending.timeout_ });
+    pending_.emplace(id, std::move(pending));
+}
+
+auto MembershipProtocol::Core::reply(std::uint64_t token, GossipMessage message) -> void
+{
+    output_.replies_.push_back({ token, std::move(message) });
+}
+
+auto MembershipProtocol::Core::isStale(const GossipMessage& message) const -> bool
+{
+    const auto& ref = message.sender_.member_.ref_;
+    if (ref.id_ == self_.member_.ref_.id_) {
+        return ref.incarnation_ < self_.member_.ref_.incarnation_;
+    }
+    const auto* entry = members_.find(ref.id_);
+    return entry && entry->member_.ref_.incarnation_ > ref.incarnation_;
+}
+
+auto MembershipProtocol::Core::absorb(TimePoint now, const GossipMessage& message, Source source) -> void
+{
+    if (!urgent_) {
+        urgentFrom_ = message.sender_.member_.ref_.id_;
+    }
+    source_ = Source::Gossip;
+    applyRecord(now, message.sender_);
+    source_ = source;
+    for (const auto& record : message.members_) {
+        applyRecord(now, record);
+    }
+    for (const auto& note : message.notes_) {
+        applyNote(now, note);
+    }
+    for (const auto& item : message.items_) {
+        wants_.erase(item.key_);
+        if (items_.apply(item)) {
+            ++stats_.itemsLearnt_;
+            announceItem(item.key_);
+            output_.items_.push_back(item);
+            urgent_ = urgent_ || source != Source::Join;
+        }
+    }
+}
+
+auto MembershipProtocol::Core::answerWants(const GossipMessage& message, GossipMessage& answer) const -> void
+{
+    std::size_t bytes = 0;
+    const auto fits = [&](std::size_t size) {
+        const bool fitting = bytes == 0 || bytes + size <= options_.bulkBudgetBytes_;
+        bytes += fitting ? size : 0;
+        answer.more_ = answer.more_ || !fitting;
+        return fitting;
+    };
+    for (const auto& key : message.wantedItems_) {
+        const auto* entry = items_.find(key);
+        if (entry && fits(key.size() + entry->value_.size())) {
+            answer.items_.push_back({ key, entry->generation_, entry->value_ });
+        }
+    }
+    for (const auto& id : message.wantedMembers_) {
+        const auto* entry = members_.find(id);
+        if (entry && fits(estimateBytes(recordOf(*entry)))) {
+            answer.members_.push_back(recordOf(*entry));
+        }
+    }
+}
+
+auto MembershipProtocol::Core::askForNotices(
+    TimePoint now, const std::vector<ItemNotice>& notices, GossipMessage& message) -> void
+{
+    for (const auto& notice : notices) {
+        if (notice.generation_ <= items_.generation(notice.key_)) {
+            continue;
+        }
+        auto& want = wants_[notice.key_];
+        if (want.generation_ >= notice.generation_ && want.expires_ > now) {
+            continue;
+        }
+        want = { notice.generation_, now + wantTimeout };
+        message.wantedItems_.push_back(notice.key_);
+    }
+}
+
+auto MembershipProtocol::Core::addressOf(const NodeId& id) const -> SeedAddress
+{
+    const auto* entry = members_.find(id);
+    return entry ? SeedAddress { entry->member_.gossip_, entry->member_.zone_ } : SeedAddress {};
+}
+
+auto MembershipProtocol::Core::isLiveAddress(const SeedAddress& address) const -> bool
+{
+    // Zones behind address translation may announce the same address, so a known zone counts.
+    const auto matches = [&](const Member& member) {
+        return member.gossip_ == address.address_ && (address.zone_.empty() || member.zone_ == address.zone_);
+    };
+    return matches(self_.member_)
+        || std::any_of(members_.entries().begin(), members_.entries().end(), [&](const auto& item) {
+               return isLive(item.second) && matches(item.second.member_);
+           });
+}
+
+auto MembershipProtocol::Core::liveCount() const -> std::size_t
+{
+    const bool selfLive = self_.member_.state_ != MemberState::Dead;
+    return members_.liveCount() + (selfLive ? 1 : 0);
+}
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libpresence/membership_core.h
@@ -0,0 +1,170 @@
+/// The state of MembershipProtocol and its parts: applying news, probing, and anti-entropy.
+#pragma once
+
+#include "broadcast_queue.h"
+#include "bucket_digest.h"
+#include "item_store.h"
+#include "member_sampler.h"
+#include "member_store.h"
+#include "rejoin_list.h"
+#include "wagtailhead/membership.h"
+
+#include <map>
+#include <random>
+
+namespace wagtailhead {
+
+class MembershipProtocol::Core {
+public:
+    Core(Member self, MembershipOptions options, std::uint64_t seed, TimePoint now);
+
+    // Entry points; see MembershipProtocol.
+    auto addPeers(TimePoint now, const std::vector<SeedAddress>& peers) -> void;
+    auto addSeeds(TimePoint now, const std::vector<SeedAddress>& seeds) -> void;
+    auto tick(TimePoint now) -> void;
+    auto nextWake() const -> TimePoint;
+    auto onRequest(TimePoint now, std::uint64_t token, const GossipMessage& message) -> void;
+    auto onReply(TimePoint now, std::uint64_t requestId, const GossipMessage& message) -> void;
+    auto onFailure(TimePoint now, std::uint64_t requestId) -> void;
+    auto updateSelf(TimePoint now, bool backendUp, int slots, std::uint64_t readySinceMs) -> void;
+    auto leave(TimePoint now) -> void;
+    auto depart(TimePoint now) -> void;
+    auto publish(TimePoint now, const VersionedItem& item) -> bool;
+
+    MembershipOptions options_;
+    MemberRecord self_;
+    BucketDigest digest_;
+    MemberStore members_ { digest_ };
+    ItemStore items_ { digest_ };
+    MembershipOutput output_;
+    MembershipStats stats_;
+    BroadcastQueue events_;
+    std::optional<Incarnation> replacedBy_;
+
+private:
+    /// What an outstanding request is for.
+    enum class Purpose : std::uint8_t {
+        DirectProbe,
+        IndirectProbe,
+        RelayedProbe, ///< On behalf of another node's IndirectProbe.
+        Recheck, ///< Of a member that this node suspects.
+        Push,
+        Sync,
+        SyncDelta,
+    };
+
+    /// How news came in, which decides how widely they are spread further.
+    enum class Source : std::uint8_t {
+        Gossip, ///< Fresh; sent on the full number of times.
+        Sync, ///< Perhaps old; sent on a few times, anti-entropy does the rest.
+        Join, ///< Learnt while joining; known to all others.
+    };
+
+    struct Pending {
+        Purpose purpose_ = Purpose::Push;
+        SeedAddress to_;
+        NodeRef target_;
+        /// The probe, the token of the relayed request, or the number of the sync step.
+        std::uint64_t reference_ = 0;
+        TimePoint sentAt_;
+        Duration timeout_ {};
+        bool more_ = false; ///< Further buckets remain to be synchronised with this member.
+    };
+
+    struct Probe {
+        NodeRef target_;
+        int outstanding_ = 0;
+        bool indirect_ = false;
+    };
+
+    struct Want {
+        std::uint64_t generation_ = 0;
+        TimePoint expires_;
+    };
+
+    // Messages and requests (membership_core.cpp).
+    auto noticeTime(TimePoint now) -> void;
+    auto makeMessage(GossipKind kind, NodeRef target) const -> GossipMessage;
+    auto send(TimePoint now, Pending pending, GossipMessage message) -> void;
+    auto reply(std::uint64_t token, GossipMessage message) -> void;
+    auto isStale(const GossipMessage& message) const -> bool;
+    auto absorb(TimePoint now, const GossipMessage& message, Source source) -> void;
+    auto answerWants(const GossipMessage& message, GossipMessage& answer) const -> void;
+    auto askForNotices(TimePoint now, const std::vector<ItemNotice>& notices, GossipMessage& message) -> void;
+    auto addressOf(const NodeId& id) const -> SeedAddress;
+    auto isLiveAddress(const SeedAddress& address) const -> bool;
+    auto requestFailed(TimePoint now, const Pending& pending) -> void;
+    auto followUp(TimePoint now, const Pending& pending, const GossipMessage& message) -> void;
+    auto liveCount() const -> std::size_t;
+
+    // Events (membership_events.cpp).
+    auto announceMember(const NodeId& id) -> void;
+    auto announceItem(const std::string& key) -> void;
+    auto sendLimit() const -> int;
+    auto fillEvents(GossipMessage& message) -> void;
+    auto pushIfUrgent(TimePoint now) -> void;
+    auto changeSelf(TimePoint now) -> void;
+    auto accountSelf() -> void;
+
+    // News about members (membership_apply.cpp).
+    auto applyRecord(TimePoint now, const MemberRecord& record) -> void;
+    auto applyNote(TimePoint now, const MemberNote& note) -> void;
+    auto applyRumorAboutSelf(TimePoint now, const MemberNote& note) -> void;
+    auto applyState(TimePoint now, MemberEntry& entry, MemberState state) -> void;
+    auto adopt(TimePoint now, const MemberRecord& record) -> void;
+    auto suspect(TimePoint now, MemberEntry& entry, bool accuser) -> void;
+    auto declareDead(TimePoint now, MemberEntry& entry) -> void;
+    auto verifyRumor(const MemberNote& note) -> void;
+    auto prolongSuspicions(TimePoint now) -> void;
+    auto runMemberTimers(TimePoint now) -> void;
+
+    // Probing (membership_probing.cpp).
+    auto runProbes(TimePoint now) -> void;
+    auto startProbe(TimePoint now, const NodeId& id, const std::optional<MemberNote>& rumor) -> void;
+    auto sendProbe(TimePoint now, Pending pending, const std::optional<MemberNote>& rumor) -> void;
+    auto recheck(TimePoint now, const MemberEntry& entry) -> void;
+    auto probeSucceeded(std::uint64_t probeId) -> void;
+    auto probeFailed(TimePoint now, std::uint64_t probeId) -> void;
+    auto probeIndirectly(TimePoint now, std::uint64_t probeId, Probe& probe) -> void;
+    auto relayProbe(TimePoint now, std::uint64_t token, const GossipMessage& message) -> void;
+    auto reportRelayed(const Pending& pending, bool reached) -> void;
+
+    // Anti-entropy and joining (membership_sync.cpp).
+    auto runSync(TimePoint now) -> void;
+    auto runDial(TimePoint now) -> void;
+    auto startSync(TimePoint now, SeedAddress to, NodeRef target, std::uint64_t step) -> void;
+    auto describeBuckets(const GossipMessage& request, GossipMessage& answer) const -> void;
+    auto compareSummaries(TimePoint now, const Pending& pending, const GossipMessage& message) -> void;
+
+    std::mt19937_64 random_;
+    MemberSampler sampler_;
+    RejoinList rejoin_;
+    std::map<std::uint64_t, Pending> pending_;
+    std::map<std::uint64_t, Probe> probes_;
+    std::map<std::string, Want> wants_;
+    /// Members that others call dead and this node does not: they are probed with the rumour.
+    std::map<NodeId, MemberNote> rumors_;
+    std::uint64_t nextId_ = 1;
+    TimePoint lastCall_;
+    TimePoint nextProbe_;
+    TimePoint nextSync_;
+    TimePoint nextDial_;
+    Duration syncBackoff_;
+    bool joined_ = false;
+    Source source_ = Source::Gossip;
+    bool urgent_ = false;
+    /// The member from which the latest urgent news came; it is not told again.
+    NodeId urgentFrom_;
+    double pushTokens_ = 0;
+    TimePoint pushTokensAt_;
+};
+
+/// Estimates of encoded sizes, exact to a few bytes.
+auto estimateBytes(const MemberRecord& record) -> std::size_t;
+auto estimateBytes(const MemberNote& note) -> std::size_t;
+auto estimateBytes(const VersionedItem& item) -> std::size_t;
+auto estimateBytes(const ItemNotice& notice) -> std::size_t;
+/// Estimates the whole message with its events, without digests and summaries.
+auto estimateBytes(const GossipMessage& message) -> std::size_t;
+
+} // namespace wagtailhead
