--- /dev/null
+++ b/src/libnet/curl_loop.h
@@ -0,0 +1,90 @@
+/// Drives libcurl's multi interface from an Asio context.
+#pragma once
+
+#include "curl_transfer.h"
+
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <atomic>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace wagtailhead {
+
+/// A multi handle with its sockets and timer. libcurl must not be entered by two threads at once, so all of
+/// it runs on one strand: a thread that finds the strand busy leaves its work there instead of waiting.
+/// The public functions are thread safe. Callbacks of requests run outside the strand.
+class CurlLoop : public std::enable_shared_from_this<CurlLoop> {
+public:
+    CurlLoop(asio::io_context& context, HttpClientOptions options);
+    ~CurlLoop();
+    CurlLoop(const CurlLoop&) = delete;
+    auto operator=(const CurlLoop&) -> CurlLoop& = delete;
+
+    auto send(const Address& address, HttpRequest request, Duration timeout, HttpClient::Callback callback)
+        -> HttpClient::RequestId;
+    auto cancel(HttpClient::RequestId id) -> void;
+
+    /// Cancels all requests and closes all connections. Nothing can be sent afterwards.
+    auto shutdown() -> void;
+
+private:
+    /// A connection of libcurl. The waits stay registered while the connection is idle, which saves a
+    /// system call for each request.
+    struct Socket {
+        Socket(asio::io_context& context, curl_socket_t descriptor)
+            : descriptor_(context, descriptor)
+        {
+        }
+        asio::posix::stream_descriptor descriptor_;
+        bool open_ = true;
+        bool wantsRead_ = false;
+        bool wantsWrite_ = false;
+        bool awaitsRead_ = false;
+        bool awaitsWrite_ = false;
+    };
+    using SocketPointer = std::shared_ptr<Socket>;
+
+    struct Finished {
+        HttpClient::Callback callback_;
+        HttpResult result_;
+    };
+
+    static auto openSocket(void* self, curlsocktype, curl_sockaddr* address) -> curl_socket_t;
+    static auto closeSocket(void* self, curl_socket_t descriptor) -> int;
+    static auto onSocketInterest(CURL* easy, curl_socket_t descriptor, int what, void* self, void*) -> int;
+    static auto onTimerChange(CURLM*, long timeoutMs, void* self) -> int;
+
+    // Everything below runs on the strand.
+    auto start(HttpClient::RequestId id, const Address& address, HttpRequest request, Duration timeout,
+        HttpClient::Callback callback) -> void;
+    auto cancelAll() -> void;
+    auto awaitSocket(const SocketPointer& socket) -> void;
+    auto onReadable(const SocketPointer& socket, asio::error_code error) -> void;
+    auto onWritable(const SocketPointer& socket, asio::error_code error) -> void;
+    auto act(const SocketPointer& socket, int events) -> void;
+    /// Runs what libcurl wants run by now, reports finished requests and sets the timer.
+    auto settle() -> void;
+    auto armTimer() -> void;
+    auto finish(CURL* easy, CURLcode code) -> Finished;
+    auto report(Finished finished) -> void;
+    auto takeIdleTransfer() -> std::unique_ptr<CurlTransfer>;
+
+    asio::io_context& context_;
+    asio::strand<asio::io_context::executor_type> strand_;
+    const HttpClientOptions options_;
+    CURLM* multi_ = nullptr;
+    asio::steady_timer timer_;
+    TimePoint curlDue_ = TimePoint::max(); ///< When libcurl wants to be called.
+    TimePoint timerDue_ = TimePoint::max(); ///< When `timer_` fires; never later than `curlDue_`.
+    bool isShutDown_ = false;
+    std::atomic<HttpClient::RequestId> lastId_ = 0;
+    std::unordered_map<HttpClient::RequestId, std::unique_ptr<CurlTransfer>> active_;
+    std::vector<std::unique_ptr<CurlTransfer>> idle_;
+    std::unordered_map<curl_socket_t, SocketPointer> sockets_;
+};
+
+} // namespace wagtailhead
