--- a/src/standins/libstandin/standin_http.cpp
+++ b/src/standins/libstandin/standin_http.cpp
@@ -13,7 +13,8 @@
 
 auto jsonResponse(int status, const nlohmann::json& body) -> HttpResponse
 {
-    return jsonTextResponse(status, body.dump());
+    // Texts of callers may be no UTF-8, on which a strict dump would throw.
+    return jsonTextResponse(status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 auto reasonResponse(int status, std::string_view reason) -> HttpResponse
