feat(net): connection limit of the HTTP server

A backend server has a connection limit, so its stand-in must close further connections at once. HttpServerOptions::maxConnections_ (0, the default, for no limit) counts a connection from its accept until its socket is closed.

--- a/src/include/wagtailhead/http.h
+++ b/src/include/wagtailhead/http.h
@@ -58,6 +58,8 @@
     std::size_t maxHeaderBytes_ = std::size_t { 16 } << 10;
     /// Headers of the answers that the server itself gives: 400 malformed, 413 body, 431 headers.
     HttpHeaders errorHeaders_;
+    /// Most open connections; further ones are closed as soon as they are accepted. 0 for no limit.
+    std::size_t maxConnections_ = 0;
 };
 
 /// An HTTP/1.1 server in the given Asio context. Malformed HTTP gets 400, a body over the limit 413
--- a/src/libnet/http_connection.cpp
+++ b/src/libnet/http_connection.cpp
@@ -69,8 +69,9 @@
 {
 }
 
-auto HttpConnection::start() -> void
+auto HttpConnection::start(std::shared_ptr<void> place) -> void
 {
+    place_ = std::move(place);
     asio::error_code ignored;
     socket_.non_blocking(true, ignored);
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -196,6 +197,7 @@
     closing_ = true;
     asio::error_code ignored;
     socket_.close(ignored);
+    place_.reset();
     timer_.cancel();
     notifyCallersGone();
 }
--- a/src/libnet/http_connection.h
+++ b/src/libnet/http_connection.h
@@ -55,8 +55,8 @@
 public:
     HttpConnection(HttpSocket socket, std::shared_ptr<const HttpConnectionOptions> options);
 
-    /// Starts the checks for slow and idle connections.
-    auto start() -> void;
+    /// Starts the checks for slow and idle connections. `place` is released when the socket is closed.
+    auto start(std::shared_ptr<void> place) -> void;
 
     /// Reads like the socket, but hands only inspected bytes to `handler`. The handler is dropped without
     /// a call when a request is refused; this class then finishes the connection by itself.
@@ -104,6 +104,7 @@
     HttpSocket socket_;
     HttpTimer timer_;
     std::shared_ptr<const HttpConnectionOptions> options_;
+    std::shared_ptr<void> place_; ///< Counts towards the connection limit of the server.
     HttpInspector inspector_;
     std::optional<HttpRefusal> refusal_;
     std::vector<std::shared_ptr<CallerWatch>> running_; ///< Oldest first.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -228,6 +228,7 @@
         , acceptor_(asio::make_strand(context))
         , retryTimer_(acceptor_.get_executor())
         , handler_(std::make_shared<const HttpServer::Handler>(std::move(handler)))
+        , maxConnections_(options.maxConnections_)
     {
         auto connectionOptions = std::make_shared<HttpConnectionOptions>();
         connectionOptions->maxBodyBytes_ = options.maxBodyBytes_;
@@ -328,20 +329,39 @@
     /// not used, because it stops for good after the first failed accept.
     auto startConnection(HttpSocket socket) -> void
     {
+        auto place = takePlace();
+        if (!place) {
+            return; // Destroying the socket closes the connection.
+        }
         const auto strand = socket.get_executor();
-        asio::dispatch(strand, [self = shared_from_this(), socket = std::move(socket)]() mutable {
-            asio::error_code error;
-            const auto remote = socket.remote_endpoint(error);
-            if (error) {
-                return;
-            }
-            const auto connection
-                = std::make_shared<HttpConnection>(std::move(socket), self->connectionOptions_);
-            connection->start();
-            std::make_shared<LibraryConnection>(self->connectionCount_++, ServerSocket(connection),
-                self->librarySettings(connection), remote, LibraryConnection::lifetime_monitor_t(nullptr))
-                ->init();
-        });
+        asio::dispatch(strand,
+            [self = shared_from_this(), socket = std::move(socket), place = std::move(place)]() mutable {
+                asio::error_code error;
+                const auto remote = socket.remote_endpoint(error);
+                if (error) {
+                    return;
+                }
+                const auto connection
+                    = std::make_shared<HttpConnection>(std::move(socket), self->connectionOptions_);
+                connection->start(std::move(place));
+                std::make_shared<LibraryConnection>(self->connectionCount_++, ServerSocket(connection),
+                    self->librarySettings(connection), remote, LibraryConnection::lifetime_monitor_t(nullptr))
+                    ->init();
+            });
+    }
+
+    /// Returns a place below the connection limit, or null. The place is free again when the last
+    /// reference to it is gone.
+    auto takePlace() -> std::shared_ptr<void>
+    {
+        const auto open = openConnections_;
+        if (++*open > maxConnections_ && maxConnections_ > 0) {
+            --*open;
+            return nullptr;
+        }
+        return { open.get(), [open](void*) {
+                    --*open;
+                } };
     }
 
     auto librarySettings(const std::shared_ptr<HttpConnection>& connection)
@@ -362,6 +382,10 @@
     std::shared_ptr<const HttpServer::Handler> handler_;
     std::shared_ptr<const HttpConnectionOptions> connectionOptions_;
     std::atomic<std::uint64_t> connectionCount_ = 1;
+    const std::size_t maxConnections_;
+    /// Shared with the connections, which may outlive the listener.
+    std::shared_ptr<std::atomic<std::size_t>> openConnections_
+        = std::make_shared<std::atomic<std::size_t>>(0);
 };
 
 class RestinioServer final : public HttpServer {
