--- a/src/standins/libstandin/link_routes.cpp
+++ b/src/standins/libstandin/link_routes.cpp
@@ -43,7 +43,7 @@
     constexpr std::size_t routeWords = 5;
     constexpr std::size_t zoneWords = 3;
     LinkRoutes result;
-    std::set<Address> listening;
+    std::set<std::string> listening;
     std::istringstream lines { std::string(text) };
     int number = 0;
     const auto failure = [&number](const std::string& reason) {
@@ -67,7 +67,7 @@
         if (!isOk(route)) {
             return failure(errorOf(route).text_);
         }
-        if (!listening.insert(valueOf(route).listen_).second) {
+        if (!listening.insert(valueOf(route).listen_.text()).second) {
             return failure("address " + row[1] + " is listed twice");
         }
         result.routes_.push_back(valueOf(std::move(route)));
--- a/src/standins/libstandin/service_times_test.cpp
+++ b/src/standins/libstandin/service_times_test.cpp
@@ -15,6 +15,7 @@
 auto draw(ServiceTimes& times, int count) -> std::vector<Duration>
 {
     std::vector<Duration> drawn;
+    drawn.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         drawn.push_back(times.next(start, 1.0));
     }
