--- a/src/include/wagtailhead/http.h
+++ b/src/include/wagtailhead/http.h
@@ -65,6 +65,8 @@
     Duration idleTimeout_ = seconds(60);
     /// A request that takes longer to arrive gets 408, and its connection is closed.
     Duration requestTimeout_ = seconds(10);
+    /// Most open connections; further ones are closed as soon as they are accepted. 0 for no limit.
+    std::size_t maxConnections_ = 0;
 };
 
 /// An HTTP/1.1 server in the given Asio context. Malformed HTTP gets 400, a body over the limit 413
