--- a/src/include/wagtailhead/ledger.h
+++ b/src/include/wagtailhead/ledger.h
@@ -94,7 +94,7 @@
 using BeginResult = std::variant<StartRecording, Join, Replay, Refuse>;
 
 /// Why this node does not run a key.
-struct Refusal {
+struct KeyRefusal {
     int status_ = 503;
     std::string reason_;
 };
@@ -153,8 +153,8 @@
     /// Takes a call in that this node will not run (shed, leaving). A known key is treated as by begin().
     /// A new key is blocked at the witnesses, since only they can confirm that no successor has run it;
     /// then the waiter gets NotRun.
-    auto refuse(const OnceArrival& call, const Refusal& refusal, TimePoint now, WallClock::time_point wallNow)
-        -> BeginResult;
+    auto refuse(const OnceArrival& call, const KeyRefusal& refusal, TimePoint now,
+        WallClock::time_point wallNow) -> BeginResult;
 
     auto onRecordAck(const RecordTicket& ticket, const RecordAck& ack, TimePoint now) -> OwnerEffects;
 
@@ -168,7 +168,7 @@
 
     /// Gives up a key that has not been dispatched (dropped from the queue). Its waiters get NotRun as
     /// soon as that is certain.
-    auto abandon(const KeyRef& key, const Refusal& refusal, TimePoint now) -> OwnerEffects;
+    auto abandon(const KeyRef& key, const KeyRefusal& refusal, TimePoint now) -> OwnerEffects;
 
     /// Reports the end of an execution. The outcome NotRun says that the backend server has certainly not
     /// got the request; Unknown that it may have run. Unknown keys are ignored.
@@ -200,7 +200,7 @@
     auto bytes() const -> std::size_t;
 
 private:
-    auto take(const OnceArrival& call, const std::optional<Refusal>& refusal, TimePoint now,
+    auto take(const OnceArrival& call, const std::optional<KeyRefusal>& refusal, TimePoint now,
         WallClock::time_point wallNow) -> BeginResult;
     auto findShard(const std::string& service, const std::string& shard) const -> OwnedShard*;
 
--- a/src/include/wagtailhead/ledger_node.h
+++ b/src/include/wagtailhead/ledger_node.h
@@ -94,10 +94,10 @@
     /// As OwnerLedger::begin() and refuse(); the records to be sent are in the effects.
     auto begin(const OnceArrival& call, TimePoint now, WallClock::time_point wallNow)
         -> std::pair<BeginResult, LedgerEffects>;
-    auto refuse(const OnceArrival& call, const Refusal& refusal, TimePoint now, WallClock::time_point wallNow)
-        -> std::pair<BeginResult, LedgerEffects>;
+    auto refuse(const OnceArrival& call, const KeyRefusal& refusal, TimePoint now,
+        WallClock::time_point wallNow) -> std::pair<BeginResult, LedgerEffects>;
     auto mayDispatch(const KeyRef& key, TimePoint now) -> bool;
-    auto abandon(const KeyRef& key, const Refusal& refusal, TimePoint now) -> LedgerEffects;
+    auto abandon(const KeyRef& key, const KeyRefusal& refusal, TimePoint now) -> LedgerEffects;
     auto finish(const KeyRef& key, const Answer& answer, TimePoint now) -> LedgerEffects;
 
     /// Handles a Fence, RecordStart, RecordOutcome, Seal, Install or Commit of a peer. The reply, if any,
--- a/src/libledger/ledger.cpp
+++ b/src/libledger/ledger.cpp
@@ -33,13 +33,13 @@
     return take(call, std::nullopt, now, wallNow);
 }
 
-auto OwnerLedger::refuse(const OnceArrival& call, const Refusal& refusal, TimePoint now,
+auto OwnerLedger::refuse(const OnceArrival& call, const KeyRefusal& refusal, TimePoint now,
     WallClock::time_point wallNow) -> BeginResult
 {
     return take(call, refusal, now, wallNow);
 }
 
-auto OwnerLedger::take(const OnceArrival& call, const std::optional<Refusal>& refusal, TimePoint now,
+auto OwnerLedger::take(const OnceArrival& call, const std::optional<KeyRefusal>& refusal, TimePoint now,
     WallClock::time_point wallNow) -> BeginResult
 {
     const std::lock_guard lock(mutex_);
@@ -74,7 +74,7 @@
     return shard && shard->mayDispatch(key.key_, now);
 }
 
-auto OwnerLedger::abandon(const KeyRef& key, const Refusal& refusal, TimePoint now) -> OwnerEffects
+auto OwnerLedger::abandon(const KeyRef& key, const KeyRefusal& refusal, TimePoint now) -> OwnerEffects
 {
     const std::lock_guard lock(mutex_);
     OwnerEffects effects;
--- a/src/libledger/ledger_node.cpp
+++ b/src/libledger/ledger_node.cpp
@@ -22,7 +22,7 @@
     return take(owner_.begin(call, now, wallNow), now);
 }
 
-auto LedgerNode::refuse(const OnceArrival& call, const Refusal& refusal, TimePoint now,
+auto LedgerNode::refuse(const OnceArrival& call, const KeyRefusal& refusal, TimePoint now,
     WallClock::time_point wallNow) -> std::pair<BeginResult, LedgerEffects>
 {
     const std::lock_guard lock(mutex_);
@@ -47,7 +47,7 @@
     return owner_.mayDispatch(key, now);
 }
 
-auto LedgerNode::abandon(const KeyRef& key, const Refusal& refusal, TimePoint now) -> LedgerEffects
+auto LedgerNode::abandon(const KeyRef& key, const KeyRefusal& refusal, TimePoint now) -> LedgerEffects
 {
     const std::lock_guard lock(mutex_);
     LedgerEffects effects;
@@ -343,4 +343,20 @@
     return std::nullopt;
 }
 
+auto LedgerNode::owner() const -> const OwnerLedger&
+{
+    return owner_;
+}
+
+auto LedgerNode::witness() const -> const WitnessLedger&
+{
+    return witness_;
+}
+
+auto LedgerNode::takeoversInFlight() const -> std::size_t
+{
+    const std::lock_guard lock(mutex_);
+    return takeovers_.size();
+}
+
 } // namespace wagtailhead
--- a/src/libledger/owned_shard.cpp
+++ b/src/libledger/owned_shard.cpp
@@ -46,7 +46,7 @@
     record_.shard_ = std::move(shard);
 }
 
-auto OwnedShard::take(const OnceArrival& call, std::optional<Refusal> refusal, TimePoint now,
+auto OwnedShard::take(const OnceArrival& call, std::optional<KeyRefusal> refusal, TimePoint now,
     WallClock::time_point wallNow) -> BeginResult
 {
     if (const auto open = open_.find(call.key_); open != open_.end()) {
@@ -64,10 +64,10 @@
                 blocks_.notRunUntil(call.key_) };
         }
         // The earlier refusal can no longer be told; a new round confirms that the key still has not run.
-        refusal = Refusal { statusUnavailable, ledger_reason::refusedBefore };
+        refusal = KeyRefusal { statusUnavailable, ledger_reason::refusedBefore };
     }
     if (!refusal && context_.bytes_ >= context_.options_.maxBytes_) {
-        refusal = Refusal { statusUnavailable, ledger_reason::ledgerFull };
+        refusal = KeyRefusal { statusUnavailable, ledger_reason::ledgerFull };
     }
     return openKey(call, std::move(refusal), now);
 }
@@ -115,7 +115,7 @@
     return std::nullopt;
 }
 
-auto OwnedShard::openKey(const OnceArrival& call, std::optional<Refusal> refusal, TimePoint now)
+auto OwnedShard::openKey(const OnceArrival& call, std::optional<KeyRefusal> refusal, TimePoint now)
     -> BeginResult
 {
     if (refusal && mode_ == Mode::Active && record_.witnesses_.empty()) {
@@ -157,8 +157,8 @@
     return true;
 }
 
-auto OwnedShard::abandon(const std::string& key, const Refusal& refusal, TimePoint now, OwnerEffects& effects)
-    -> void
+auto OwnedShard::abandon(
+    const std::string& key, const KeyRefusal& refusal, TimePoint now, OwnerEffects& effects) -> void
 {
     const auto at = open_.find(key);
     if (at == open_.end()) {
@@ -254,7 +254,7 @@
     auto& open = open_[fence.key_];
     open.attempt_ = fence.attempt_;
     open.acceptedAt_ = now;
-    open.refusal_ = Refusal { statusUnavailable, ledger_reason::fenced };
+    open.refusal_ = KeyRefusal { statusUnavailable, ledger_reason::fenced };
     open.fences_.push_back({ token, now + fenceWait });
     if (mode_ == Mode::Active) {
         auto requests = startRound(fence.key_, open, now);
@@ -273,8 +273,8 @@
     }
 }
 
-auto OwnedShard::refuseOpen(Open::iterator at, const Refusal& refusal, TimePoint notRunUntil, TimePoint now,
-    OwnerEffects& effects) -> Open::iterator
+auto OwnedShard::refuseOpen(Open::iterator at, const KeyRefusal& refusal, TimePoint notRunUntil,
+    TimePoint now, OwnerEffects& effects) -> Open::iterator
 {
     const auto& key = at->first;
     const Answer answer { Outcome::NotRun, refusal.status_, refusal.reason_, {}, {} };
--- a/src/libledger/owned_shard.h
+++ b/src/libledger/owned_shard.h
@@ -27,13 +27,13 @@
 public:
     OwnedShard(OwnerContext context, std::string service, std::string shard);
 
-    auto take(const OnceArrival& call, std::optional<Refusal> refusal, TimePoint now,
+    auto take(const OnceArrival& call, std::optional<KeyRefusal> refusal, TimePoint now,
         WallClock::time_point wallNow) -> BeginResult;
     auto onRecordAck(const RecordTicket& ticket, const RecordAck& ack, TimePoint now, OwnerEffects& effects)
         -> void;
     auto onRecordTimeout(const RecordTicket& ticket, TimePoint now, OwnerEffects& effects) -> void;
     auto mayDispatch(const std::string& key, TimePoint now) -> bool;
-    auto abandon(const std::string& key, const Refusal& refusal, TimePoint now, OwnerEffects& effects)
+    auto abandon(const std::string& key, const KeyRefusal& refusal, TimePoint now, OwnerEffects& effects)
         -> void;
     auto finish(const std::string& key, const Answer& answer, TimePoint now, OwnerEffects& effects) -> void;
     auto fence(const Fence& fence, FenceToken token, TimePoint now, OwnerEffects& effects) -> void;
@@ -85,7 +85,7 @@
         AttemptId attempt_;
         TimePoint acceptedAt_;
         /// If set, the key is refused at the end of the round instead of becoming ready.
-        std::optional<Refusal> refusal_;
+        std::optional<KeyRefusal> refusal_;
         bool blockOnly_ = false; ///< The round records nothing and only blocks the key.
         std::uint64_t round_ = 0; ///< 0 if no round is under way.
         std::map<NodeRef, WitnessTry> tries_;
@@ -99,7 +99,7 @@
     auto answerStarted(const KeyRecord& record, const OnceArrival& call) const -> BeginResult;
     auto checkNew(const OnceArrival& call, TimePoint now, WallClock::time_point wallNow) const
         -> std::optional<Refuse>;
-    auto openKey(const OnceArrival& call, std::optional<Refusal> refusal, TimePoint now) -> BeginResult;
+    auto openKey(const OnceArrival& call, std::optional<KeyRefusal> refusal, TimePoint now) -> BeginResult;
 
     auto startRound(const std::string& key, OpenKey& open, TimePoint now) -> std::vector<RecordRequest>;
     auto makeRequest(const std::string& key, const OpenKey& open, const NodeRef& witness) const
@@ -111,7 +111,7 @@
     auto answerOtherBodies(OpenKey& open, OwnerEffects& effects) const -> void;
 
     /// Tells all waiters of an undispatched key that it has not run, and closes it.
-    auto refuseOpen(Open::iterator at, const Refusal& refusal, TimePoint notRunUntil, TimePoint now,
+    auto refuseOpen(Open::iterator at, const KeyRefusal& refusal, TimePoint notRunUntil, TimePoint now,
         OwnerEffects& effects) -> Open::iterator;
     /// Answers all waiters and fences of a key and closes it.
     auto endOpen(Open::iterator at, const Answer& answer, const FenceReply& fenceReply, TimePoint notRunUntil,
--- a/src/libledger/owned_shard_rounds.cpp
+++ b/src/libledger/owned_shard_rounds.cpp
@@ -89,7 +89,7 @@
     const std::string_view reason = ack.reason_;
     if (reason == record_refusal::blocked || reason == record_refusal::full) {
         if (!open.refusal_) {
-            open.refusal_ = Refusal { statusUnavailable,
+            open.refusal_ = KeyRefusal { statusUnavailable,
                 reason == record_refusal::full ? ledger_reason::ledgerFull : ledger_reason::refusedBefore };
         }
         return true;
@@ -118,7 +118,7 @@
         for (const auto& [witness, last] : open.tries_) {
             confirmedAt = std::min(confirmedAt, last.sentAt_);
         }
-        refuseOpen(at, Refusal(*open.refusal_), confirmedAt + notRunWindow, now, effects);
+        refuseOpen(at, KeyRefusal(*open.refusal_), confirmedAt + notRunWindow, now, effects);
         return;
     }
     open.state_ = KeyState::Ready;
--- a/src/libnet/messages.cpp
+++ b/src/libnet/messages.cpp
@@ -251,7 +251,8 @@
 
 template <typename A> auto describe(A& a, CallReply& v) -> void
 {
-    a(v.callId_, v.answer_, v.load_, v.subtreeLevel_, v.subtreeService_, v.unusedRetries_, v.localRefusal_);
+    a(v.callId_, v.answer_, v.load_, v.subtreeLevel_, v.subtreeService_, v.unusedRetries_, v.localRefusal_,
+        v.notRunUntil_);
 }
 
 template <typename A> auto describe(A& a, CancelCall& v) -> void
@@ -261,17 +262,18 @@
 
 template <typename A> auto describe(A& a, Fence& v) -> void
 {
-    a(v.requestId_, v.shard_, v.key_, v.attempt_);
+    a(v.requestId_, v.shard_, v.owner_, v.member_, v.key_, v.attempt_);
 }
 
 template <typename A> auto describe(A& a, FenceReply& v) -> void
 {
-    a(v.requestId_, v.state_, v.answer_);
+    a(v.requestId_, v.state_, v.answer_, v.validUntil_);
 }
 
 template <typename A> auto describe(A& a, RecordStart& v) -> void
 {
-    a(v.requestId_, v.shard_, v.owner_, v.witness_, v.key_, v.bodyHash_, v.attempt_);
+    a(v.requestId_, v.shard_, v.owner_, v.witness_, v.key_, v.bodyHash_, v.attempt_, v.acceptedAt_, v.round_,
+        v.block_);
 }
 
 template <typename A> auto describe(A& a, RecordAck& v) -> void
@@ -281,22 +283,24 @@
 
 template <typename A> auto describe(A& a, RecordOutcome& v) -> void
 {
-    a(v.shard_, v.key_, v.answer_);
+    a(v.shard_, v.key_, v.attempt_, v.answer_);
 }
 
 template <typename A> auto describe(A& a, Seal& v) -> void
 {
-    a(v.requestId_, v.shard_, v.witness_, v.candidate_, v.newEpoch_);
+    a(v.requestId_, v.shard_, v.owner_, v.witness_, v.candidate_, v.newEpoch_, v.after_);
 }
 
 template <typename A> auto describe(A& a, SealReply& v) -> void
 {
-    a(v.requestId_, v.sealed_, v.highestEpoch_, v.entries_, v.blocked_);
+    a(v.requestId_, v.sealed_, v.highestEpoch_, v.entries_, v.blocked_, v.more_, v.active_, v.bases_,
+        v.known_);
 }
 
 template <typename A> auto describe(A& a, Install& v) -> void
 {
-    a(v.requestId_, v.shard_, v.owner_, v.witness_, v.entries_, v.first_, v.last_);
+    a(v.requestId_, v.shard_, v.owner_, v.witness_, v.entries_, v.first_, v.last_, v.members_, v.copy_,
+        v.part_, v.blocked_, v.bases_);
 }
 
 template <typename A> auto describe(A& a, InstallAck& v) -> void
@@ -304,6 +308,21 @@
     a(v.requestId_, v.accepted_, v.highestEpoch_);
 }
 
+template <typename A> auto describe(A& a, EpochMembers& v) -> void
+{
+    a(v.epoch_, v.owner_, v.witnesses_);
+}
+
+template <typename A> auto describe(A& a, Commit& v) -> void
+{
+    a(v.requestId_, v.shard_, v.member_, v.members_, v.bases_, v.begun_);
+}
+
+template <typename A> auto describe(A& a, CommitAck& v) -> void
+{
+    a(v.requestId_, v.accepted_, v.known_);
+}
+
 /// Decodes the message type with this index, trying the alternatives of Message in order.
 template <std::size_t Index = 0> auto readAlternative(std::size_t index, Reader& reader) -> Message
 {
--- a/src/libnet/peer_connection.cpp
+++ b/src/libnet/peer_connection.cpp
@@ -67,6 +67,7 @@
 {
     onMessage_ = std::move(onMessage);
     onClose_ = std::move(onClose);
+    pingSentAt_ = Clock::now();
     enqueue(Hello { protocolVersion, options_->self_, options_->zone_ });
     asio::post(strand_, [self = shared_from_this()] {
         self->read();
@@ -197,7 +198,12 @@
 auto PeerConnection::handleFrame(std::string_view payload, microseconds senderClock) -> bool
 {
     ++counters_->messagesReceived_;
-    const auto sentAt = offset_.observe(senderClock, Clock::now());
+    const auto now = Clock::now();
+    auto sentAt = offset_.observe(senderClock, now);
+    if (shortestRoundTrip_ != Duration::max()) {
+        // The offset contains the shortest transit time; without it a message would look too new.
+        sentAt -= shortestRoundTrip_ / 2;
+    }
     auto decoded = decodeMessage(payload, sentAt);
     if (!isOk(decoded)) {
         return false;
@@ -209,12 +215,17 @@
         }
         helloSeen_ = true;
         remote_ = hello->sender_;
+        // Gives the peer a round trip time before the first request reaches it.
+        enqueue(Pong { 0 });
     } else if (!helloSeen_) {
         return false;
     } else if (const auto* ping = std::get_if<Ping>(&message)) {
         enqueue(Pong { ping->number_ });
         return true;
-    } else if (std::holds_alternative<Pong>(message)) {
+    } else if (const auto* pong = std::get_if<Pong>(&message)) {
+        if (pong->number_ == pingNumber_) {
+            shortestRoundTrip_ = std::min(shortestRoundTrip_, now - pingSentAt_);
+        }
         return true;
     }
     lastUsed_ = Clock::now().time_since_epoch().count();
--- a/src/libnet/peer_connection.h
+++ b/src/libnet/peer_connection.h
@@ -95,7 +95,9 @@
     TimePoint lastCheck_;
     TimePoint pingSentAt_;
     bool pingOutstanding_ = false;
-    std::uint64_t pingNumber_ = 0;
+    std::uint64_t pingNumber_ = 0; ///< 0 stands for the Hello.
+    /// The shortest round trip seen; an estimate that is too long makes messages look older, never newer.
+    Duration shortestRoundTrip_ = Duration::max();
     std::vector<std::string> writing_;
 
     std::atomic<int> inFlight_ { 0 };
--- a/src/standins/wagtailhead-standin-store/main.cpp
+++ b/src/standins/wagtailhead-standin-store/main.cpp
@@ -39,9 +39,12 @@
 
     asio::io_context context(1);
     standin::StoreServer store(context, faults);
+    HttpServerOptions options;
+    options.listen_ = listen;
+    options.maxBodyBytes_ = standin::maxValueBytes;
     auto server = require(program,
-        HttpServer::open(context, { listen, standin::maxValueBytes, HttpServerOptions().maxHeaderBytes_, {} },
-            [&store](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+        HttpServer::open(
+            context, options, [&store](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
                 store.handle(request, responder);
             }));
     asio::signal_set signals(context, SIGINT, SIGTERM);
