--- a/testsuite/mesh/naive_node.py
+++ b/testsuite/mesh/naive_node.py
@@ -28,7 +28,8 @@
         """Answers the state dump, or forwards the call."""
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         if self.path == "/-/dump":
-            self.reply(200, json.dumps({"ready": True, "settings": self.settings}).encode())
+            ready = os.environ.get("NAIVE_NODE_NOT_READY") != self.settings["node-id"][0]
+            self.reply(200, json.dumps({"ready": ready, "settings": self.settings}).encode())
             return
         _, service, path = (self.path.split("/", 2) + [""])[:3]
         addresses = backends_of(service)
--- a/testsuite/mesh/run.py
+++ b/testsuite/mesh/run.py
@@ -141,10 +141,11 @@
 
     def test_interrupted_start_leaves_nothing_behind(self):
         """Guards against processes that outlive an interrupted start."""
-        with subprocess.Popen(self.command("up", "--bin-dir", self.bin_dir), env=self.environment,
-                              stdout=subprocess.PIPE, stderr=subprocess.PIPE) as starting:
+        self.environment["NAIVE_NODE_NOT_READY"] = "krajums-1"  # So that the start cannot end before the signal.
+        with subprocess.Popen(self.command("up", "--bin-dir", self.bin_dir, "--nodes-per-service", "1"),
+                              env=self.environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE) as starting:
             end = time.monotonic() + DEADLINE_S
-            while len(self.status()) < 5 and time.monotonic() < end:
+            while len(self.status()) < 9 and time.monotonic() < end:
                 time.sleep(0.01)
             pids = self.pids()
             starting.send_signal(signal.SIGTERM)
@@ -199,6 +200,19 @@
         self.assertEqual(self.process("node", "krajums-1")["state"], "running")
         self.assertEqual(self.mesh("kill", "nobody-1").returncode, 1)
 
+    def test_quickstart(self):
+        """Guards against a quickstart that loses a class of requests, or leaves processes behind."""
+        state_dir = os.path.join(ROOT, ".mesh-quickstart")
+        self.environment["NAIVE_NODE_STATE"] = os.path.join(state_dir, "state.json")
+        done = subprocess.run([os.path.join(ROOT, "scripts", "quickstart"), "--bin-dir", self.bin_dir,
+                               "--nodes-per-service", "1"], env=self.environment, capture_output=True, text=True,
+                              timeout=DEADLINE_S, check=False)
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+        for name in ("orders", "stock reads", "lookups", "downloads"):
+            self.assertRegex(done.stdout, rf"(?m)^{name} +60 +60 +0 +0 +0 ")
+        self.assertIn("mesh is down: 9 processes ended", done.stdout)
+        self.assertFalse(os.path.exists(os.path.join(state_dir, "state.json")))
+
 
 if __name__ == "__main__":
     result = unittest.TextTestRunner(verbosity=2).run(unittest.defaultTestLoader.loadTestsFromTestCase(MeshTest))
