--- a/src/libnet/curl_loop.cpp
+++ b/src/libnet/curl_loop.cpp
@@ -33,6 +33,7 @@
     , strand_(asio::make_strand(context))
     , options_(options)
     , timer_(context)
+    , queue_(options.maxConnectionsPerHost_)
 {
     initCurl();
     multi_ = curl_multi_init();
@@ -42,15 +43,14 @@
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &CurlLoop::onTimerChange);
     curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_PIPELINING, long { CURLPIPE_NOTHING });
-    curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, perHost);
     curl_multi_setopt(
         multi_, CURLMOPT_MAXCONNECTS, std::max(minIdleConnections, perHost * idleConnectionsPerHostLimit));
 }
 
 CurlLoop::~CurlLoop()
 {
-    for (const auto& [id, transfer] : active_) {
-        curl_multi_remove_handle(multi_, transfer->handle());
+    for (const auto& [id, active] : active_) {
+        curl_multi_remove_handle(multi_, active.transfer_->handle());
     }
     if (multi_ != nullptr) {
         curl_multi_cleanup(multi_);
@@ -61,25 +61,17 @@
     HttpClient::Callback callback) -> HttpClient::RequestId
 {
     const auto id = ++lastId_;
-    asio::dispatch(strand_,
-        [self = shared_from_this(), id, address, request = std::move(request), timeout,
-            callback = std::move(callback)]() mutable {
-            self->start(id, address, std::move(request), timeout, std::move(callback));
-        });
+    QueuedRequest queued { id, address, std::move(request), Clock::now() + timeout, std::move(callback) };
+    asio::dispatch(strand_, [self = shared_from_this(), queued = std::move(queued)]() mutable {
+        self->start(std::move(queued));
+    });
     return id;
 }
 
 auto CurlLoop::cancel(HttpClient::RequestId id) -> void
 {
     asio::dispatch(strand_, [self = shared_from_this(), id] {
-        const auto found = self->active_.find(id);
-        if (found == self->active_.end()) {
-            return;
-        }
-        auto finished = self->finish(found->second->handle(), CURLE_ABORTED_BY_CALLBACK);
-        finished.result_ = HttpFailure::Cancelled;
-        self->report(std::move(finished));
-        self->settle(); // A request that waited for a free connection to the same host may start now.
+        self->cancelNow(id);
     });
 }
 
@@ -90,29 +82,50 @@
     });
 }
 
-auto CurlLoop::start(HttpClient::RequestId id, const Address& address, HttpRequest request, Duration timeout,
-    HttpClient::Callback callback) -> void
+auto CurlLoop::start(QueuedRequest request) -> void
 {
-    auto transfer = takeIdleTransfer();
-    transfer->id_ = id;
-    transfer->callback_ = std::move(callback);
-    if (isShutDown_ || !transfer->prepare(address, std::move(request), timeout)) {
-        report({ std::move(transfer->callback_), HttpFailure::NotSent });
-        return;
+    if (isShutDown_ || !CurlTransfer::canSend(request.request_)) {
+        report({ std::move(request.callback_), HttpFailure::NotSent });
+    } else if (queue_.tryStart(request.address_)) {
+        launch(std::move(request));
+        settle();
+    } else {
+        queue_.wait(std::move(request));
+        armTimer();
     }
+}
+
+auto CurlLoop::launch(QueuedRequest request) -> void
+{
+    auto transfer = takeIdleTransfer();
+    transfer->id_ = request.id_;
+    transfer->callback_ = std::move(request.callback_);
+    transfer->prepare(request.address_, std::move(request.request_), request.deadline_ - Clock::now());
     auto* easy = transfer->handle();
-    active_.emplace(id, std::move(transfer));
+    active_.emplace(request.id_, Active { std::move(transfer), std::move(request.address_) });
     curl_multi_add_handle(multi_, easy);
-    settle();
+}
+
+auto CurlLoop::cancelNow(HttpClient::RequestId id) -> void
+{
+    if (auto waiting = queue_.remove(id)) {
+        report({ std::move(waiting->callback_), HttpFailure::Cancelled });
+    } else if (const auto found = active_.find(id); found != active_.end()) {
+        auto finished = finish(found->second.transfer_->handle(), CURLE_ABORTED_BY_CALLBACK);
+        finished.result_ = HttpFailure::Cancelled;
+        report(std::move(finished));
+        settle();
+    }
 }
 
 auto CurlLoop::cancelAll() -> void
 {
     isShutDown_ = true;
+    for (auto& waiting : queue_.takeExpired(TimePoint::max())) {
+        report({ std::move(waiting.callback_), HttpFailure::Cancelled });
+    }
     while (!active_.empty()) {
-        auto finished = finish(active_.begin()->second->handle(), CURLE_ABORTED_BY_CALLBACK);
-        finished.result_ = HttpFailure::Cancelled;
-        report(std::move(finished));
+        cancelNow(active_.begin()->first);
     }
     curl_multi_cleanup(std::exchange(multi_, nullptr));
     timer_.cancel();
@@ -141,27 +154,39 @@
 auto CurlLoop::finish(CURL* easy, CURLcode code) -> Finished
 {
     auto node = active_.extract(CurlTransfer::of(easy).id_);
-    auto& transfer = node.mapped();
+    auto& [transfer, address] = node.mapped();
     Finished finished { std::move(transfer->callback_), transfer->takeResult(code) };
     curl_multi_remove_handle(multi_, easy);
     if (idle_.size() < maxIdleTransfers) {
         idle_.push_back(std::move(transfer));
     }
+    if (auto next = queue_.finish(address)) {
+        launch(std::move(*next));
+    }
     return finished;
 }
 
+auto CurlLoop::reportFinished() -> void
+{
+    int left = 0;
+    while (const auto* message = curl_multi_info_read(multi_, &left)) {
+        if (message->msg == CURLMSG_DONE) {
+            report(finish(message->easy_handle, message->data.result));
+        }
+    }
+}
+
 auto CurlLoop::settle() -> void
 {
+    reportFinished();
     for (int round = 0; round < maxTimeoutRounds && curlDue_ <= Clock::now(); ++round) {
         curlDue_ = TimePoint::max();
         int running = 0;
         curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+        reportFinished();
     }
-    int left = 0;
-    while (const auto* message = curl_multi_info_read(multi_, &left)) {
-        if (message->msg == CURLMSG_DONE) {
-            report(finish(message->easy_handle, message->data.result));
-        }
+    for (auto& expired : queue_.takeExpired(Clock::now())) {
+        report({ std::move(expired.callback_), HttpFailure::NotSent });
     }
     armTimer();
 }
@@ -169,10 +194,11 @@
 auto CurlLoop::armTimer() -> void
 {
     // A timer that fires too early only checks again, which is cheaper than to move it for each request.
-    if (curlDue_ >= timerDue_ || isShutDown_) {
+    const auto due = std::min(curlDue_, queue_.nextDeadline());
+    if (due >= timerDue_ || isShutDown_) {
         return;
     }
-    timerDue_ = curlDue_;
+    timerDue_ = due;
     timer_.expires_at(timerDue_);
     timer_.async_wait(asio::bind_executor(strand_, [self = shared_from_this()](asio::error_code error) {
         if (!error) {
--- a/src/libnet/curl_loop.h
+++ b/src/libnet/curl_loop.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "curl_transfer.h"
+#include "host_queue.h"
 
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
@@ -48,6 +49,11 @@
     };
     using SocketPointer = std::shared_ptr<Socket>;
 
+    struct Active {
+        std::unique_ptr<CurlTransfer> transfer_;
+        Address address_;
+    };
+
     struct Finished {
         HttpClient::Callback callback_;
         HttpResult result_;
@@ -59,8 +65,10 @@
     static auto onTimerChange(CURLM*, long timeoutMs, void* self) -> int;
 
     // Everything below runs on the strand.
-    auto start(HttpClient::RequestId id, const Address& address, HttpRequest request, Duration timeout,
-        HttpClient::Callback callback) -> void;
+    auto start(QueuedRequest request) -> void;
+    /// Hands a request that counts as running to libcurl.
+    auto launch(QueuedRequest request) -> void;
+    auto cancelNow(HttpClient::RequestId id) -> void;
     auto cancelAll() -> void;
     auto awaitSocket(const SocketPointer& socket) -> void;
     auto onReadable(const SocketPointer& socket, asio::error_code error) -> void;
@@ -68,7 +76,9 @@
     auto act(const SocketPointer& socket, int events) -> void;
     /// Runs what libcurl wants run by now, reports finished requests and sets the timer.
     auto settle() -> void;
+    auto reportFinished() -> void;
     auto armTimer() -> void;
+    /// Ends a running request and starts the next one that waits for the same address.
     auto finish(CURL* easy, CURLcode code) -> Finished;
     auto report(Finished finished) -> void;
     auto takeIdleTransfer() -> std::unique_ptr<CurlTransfer>;
@@ -79,10 +89,11 @@
     CURLM* multi_ = nullptr;
     asio::steady_timer timer_;
     TimePoint curlDue_ = TimePoint::max(); ///< When libcurl wants to be called.
-    TimePoint timerDue_ = TimePoint::max(); ///< When `timer_` fires; never later than `curlDue_`.
+    TimePoint timerDue_ = TimePoint::max(); ///< When `timer_` fires; never later than needed.
+    HostQueue queue_;
     bool isShutDown_ = false;
     std::atomic<HttpClient::RequestId> lastId_ = 0;
-    std::unordered_map<HttpClient::RequestId, std::unique_ptr<CurlTransfer>> active_;
+    std::unordered_map<HttpClient::RequestId, Active> active_;
     std::vector<std::unique_ptr<CurlTransfer>> idle_;
     std::unordered_map<curl_socket_t, SocketPointer> sockets_;
 };
--- a/src/libnet/curl_transfer.cpp
+++ b/src/libnet/curl_transfer.cpp
@@ -30,17 +30,6 @@
     });
 }
 
-auto isValid(const HttpRequest& request) -> bool
-{
-    const auto headerIsValid = [](const auto& header) {
-        return !header.first.empty() && isPrintable(header.first, '!')
-            && header.first.find(':') == std::string::npos && isPrintable(header.second, ' ');
-    };
-    return !request.method_.empty() && isPrintable(request.method_, '!') && !request.target_.empty()
-        && isPrintable(request.target_, '!')
-        && std::all_of(request.headers_.begin(), request.headers_.end(), headerIsValid);
-}
-
 auto toMillisecondsAtLeastOne(Duration duration) -> long
 {
     // libcurl takes 0 as "no limit".
@@ -56,12 +45,13 @@
 } // namespace
 
 CurlTransfer::CurlTransfer(const CurlSocketFunctions& sockets, Duration connectTimeout)
-    : easy_(curl_easy_init())
+    : sockets_(sockets)
+    , easy_(curl_easy_init())
 {
-    setFixedOptions(sockets, connectTimeout);
+    setFixedOptions(connectTimeout);
 }
 
-auto CurlTransfer::setFixedOptions(const CurlSocketFunctions& sockets, Duration connectTimeout) -> void
+auto CurlTransfer::setFixedOptions(Duration connectTimeout) -> void
 {
     auto* easy = easy_.get();
     curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
@@ -73,10 +63,10 @@
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, toMillisecondsAtLeastOne(connectTimeout));
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, sockets.open_);
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, sockets.client_);
-    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, sockets.close_);
-    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, sockets.client_);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &CurlTransfer::onOpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, sockets_.close_);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, sockets_.client_);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlTransfer::onConnected);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlTransfer::onHeader);
@@ -85,23 +75,30 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
 }
 
-auto CurlTransfer::prepare(const Address& address, HttpRequest request, Duration timeout) -> bool
+auto CurlTransfer::canSend(const HttpRequest& request) -> bool
+{
+    const auto headerIsValid = [](const auto& header) {
+        return !header.first.empty() && isPrintable(header.first, '!')
+            && header.first.find(':') == std::string::npos && isPrintable(header.second, ' ');
+    };
+    return !request.method_.empty() && isPrintable(request.method_, '!') && !request.target_.empty()
+        && isPrintable(request.target_, '!')
+        && std::all_of(request.headers_.begin(), request.headers_.end(), headerIsValid);
+}
+
+auto CurlTransfer::prepare(const Address& address, HttpRequest request, Duration timeout) -> void
 {
     request_ = std::move(request);
     response_ = {};
     connected_ = false;
     waitedToWrite_ = false;
     bodyStarted_ = false;
-    if (!isValid(request_)) {
-        return false;
-    }
     auto* easy = easy_.get();
     curl_easy_setopt(easy, CURLOPT_URL, ("http://" + address.text() + "/").c_str());
     curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request_.target_.c_str());
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMillisecondsAtLeastOne(timeout));
     setMethod();
     setHeaders();
-    return true;
 }
 
 auto CurlTransfer::of(CURL* easy) -> CurlTransfer&
@@ -170,10 +167,18 @@
     return connected_ && (headerBytes > 0 || waitedToWrite_);
 }
 
+auto CurlTransfer::onOpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address) -> curl_socket_t
+{
+    const auto& transfer = *static_cast<CurlTransfer*>(self);
+    // libcurl would repeat a request on a new connection when a reused one broke.
+    return transfer.mayHaveSent() ? CURL_SOCKET_BAD
+                                  : transfer.sockets_.open_(transfer.sockets_.client_, purpose, address);
+}
+
 auto CurlTransfer::onConnected(void* self, char*, char*, int, int) -> int
 {
     auto& transfer = *static_cast<CurlTransfer*>(self);
-    // A second call means that libcurl repeats the request because a reused connection broke.
+    // A second call means that libcurl is about to repeat the request on another idle connection.
     if (transfer.mayHaveSent()) {
         return CURL_PREREQFUNC_ABORT;
     }
--- a/src/libnet/curl_transfer.h
+++ b/src/libnet/curl_transfer.h
@@ -21,9 +21,12 @@
 public:
     CurlTransfer(const CurlSocketFunctions& sockets, Duration connectTimeout);
 
-    /// Prepares the handle. Returns false if the request cannot be expressed in HTTP/1.1, for instance
-    /// because a header holds a line break.
-    auto prepare(const Address& address, HttpRequest request, Duration timeout) -> bool;
+    /// Returns whether a request can be expressed in HTTP/1.1. It cannot if, for instance, a header holds a
+    /// line break.
+    static auto canSend(const HttpRequest& request) -> bool;
+
+    /// Prepares the handle. Precondition: canSend(request).
+    auto prepare(const Address& address, HttpRequest request, Duration timeout) -> void;
 
     auto handle() -> CURL*
     {
@@ -56,16 +59,18 @@
         }
     };
 
+    static auto onOpenSocket(void* self, curlsocktype purpose, curl_sockaddr* address) -> curl_socket_t;
     static auto onConnected(void* self, char*, char*, int, int) -> int;
     static auto onHeader(char* data, std::size_t, std::size_t length, void* self) -> std::size_t;
     static auto onBody(char* data, std::size_t, std::size_t length, void* self) -> std::size_t;
-    auto setFixedOptions(const CurlSocketFunctions& sockets, Duration connectTimeout) -> void;
+    auto setFixedOptions(Duration connectTimeout) -> void;
     auto setMethod() -> void;
     auto setHeaders() -> void;
     auto appendHeader(const std::string& line) -> void;
     /// Returns whether a byte of the request may have left.
     auto mayHaveSent() const -> bool;
 
+    const CurlSocketFunctions sockets_;
     std::unique_ptr<CURL, EasyDeleter> easy_;
     std::unique_ptr<curl_slist, ListDeleter> headerList_;
     HttpRequest request_;
--- a/src/libnet/http_connection.cpp
+++ b/src/libnet/http_connection.cpp
@@ -132,18 +132,21 @@
 
 auto HttpConnection::refuseAfterAnswers() -> void
 {
+    if (!refusal_ || closing_) {
+        return;
+    }
     // Written any earlier, the refusal would be taken for the answer to a request that is still running.
-    if (refusal_ && !closing_ && running_.empty()) {
+    if (running_.empty()) {
         refuse();
+    } else {
+        drain(); // Notices a caller that leaves meanwhile.
     }
 }
 
 auto HttpConnection::refuse() -> void
 {
-    closing_ = true;
-    cancel();
     refusalText_ = options_->refusalAnswer_(*refusal_);
-    drainUntil_ = Clock::now() + drainLimit;
+    startClosing();
     asio::async_write(socket_, asio::buffer(refusalText_),
         [self = shared_from_this()](asio::error_code error, std::size_t) {
             if (error) {
@@ -152,8 +155,17 @@
             }
             asio::error_code ignored;
             self->socket_.shutdown(HttpSocket::shutdown_send, ignored);
-            self->drain();
         });
+    drain();
+}
+
+auto HttpConnection::startClosing() -> void
+{
+    closing_ = true;
+    drainUntil_ = Clock::now() + drainLimit;
+    if (!draining_) {
+        cancel(); // Ends a read of the server library.
+    }
 }
 
 auto HttpConnection::close() -> void
@@ -161,14 +173,12 @@
     if (closing_) {
         return;
     }
-    closing_ = true;
     notifyCallersGone();
     if (peerClosed_) {
         closeNow();
         return;
     }
-    cancel();
-    drainUntil_ = Clock::now() + drainLimit;
+    startClosing();
     asio::error_code ignored;
     socket_.shutdown(HttpSocket::shutdown_send, ignored);
     drain();
@@ -176,18 +186,22 @@
 
 auto HttpConnection::drain() -> void
 {
-    if (drained_ > maxDrainedBytes) {
-        closeNow();
+    if (std::exchange(draining_, true)) {
         return;
     }
     drainBuffer_.resize(drainBufferBytes);
+    drainNext();
+}
+
+auto HttpConnection::drainNext() -> void
+{
     socket_.async_read_some(
         asio::buffer(drainBuffer_), [self = shared_from_this()](asio::error_code error, std::size_t length) {
             self->drained_ += length;
             if (error) {
                 self->closeNow();
-            } else {
-                self->drain();
+            } else if (self->drained_ <= maxDrainedBytes) {
+                self->drainNext();
             }
         });
 }
--- a/src/libnet/http_connection.h
+++ b/src/libnet/http_connection.h
@@ -97,7 +97,10 @@
     auto refuse() -> void;
     auto refuseAfterAnswers() -> void;
     auto sendContinue() -> void;
+    auto startClosing() -> void;
+    /// Reads and discards what the caller sends, until it closes the connection.
     auto drain() -> void;
+    auto drainNext() -> void;
     auto closeNow() -> void;
     auto notifyCallersGone() -> void;
     auto scheduleCheck() -> void;
@@ -112,6 +115,7 @@
     std::string refusalText_;
     std::vector<char> drainBuffer_;
     std::size_t drained_ = 0;
+    bool draining_ = false;
     bool peerClosed_ = false;
     bool closing_ = false; ///< The server library is done with the connection.
     TimePoint idleSince_;
--- a/src/libnet/http_inspector.cpp
+++ b/src/libnet/http_inspector.cpp
@@ -1,6 +1,9 @@
 #include "http_inspector.h"
 
+#include <algorithm>
+#include <array>
 #include <climits>
+#include <string_view>
 #include <strings.h>
 #include <utility>
 
@@ -18,6 +21,33 @@
 /// Bytes of the end of the last header line and of the empty line behind it.
 constexpr std::size_t headerBlockEnd = 4;
 
+/// The parser is built in its lenient mode, which accepts "Content-Length : 1" and control bytes. Servers
+/// that read such a header differently would see another request than we do.
+constexpr auto nameBytes = [] {
+    constexpr std::string_view separators = "\"(),/:;<=>?@[\\]{}";
+    std::array<bool, 256> bytes {};
+    for (unsigned char letter = '!'; letter < 0x7f; ++letter) {
+        bytes[letter] = separators.find(static_cast<char>(letter)) == std::string_view::npos;
+    }
+    return bytes;
+}();
+
+auto isNameByte(char letter) -> bool
+{
+    return nameBytes[static_cast<unsigned char>(letter)];
+}
+
+auto isValueByte(char letter) -> bool
+{
+    const auto value = static_cast<unsigned char>(letter);
+    return (value >= ' ' && value != 0x7f) || value == '\t';
+}
+
+auto isTargetByte(char letter) -> bool
+{
+    return isValueByte(letter) && letter != ' ' && letter != '\t';
+}
+
 auto appendKept(std::string& text, const char* at, std::size_t length) -> void
 {
     const auto room = maxKeptBytes - text.size();
@@ -42,7 +72,7 @@
             return 0;
         };
         settings.on_url = [](http_parser* parser, const char* at, std::size_t length) -> int {
-            return self(parser).onHeaderBytes(at + length);
+            return self(parser).onTarget(at, length);
         };
         settings.on_header_field = [](http_parser* parser, const char* at, std::size_t length) -> int {
             return self(parser).onHeaderName(at, length);
@@ -159,8 +189,17 @@
     return headerBytes > maxHeaderBytes_ ? refuse(HttpRefusal::HeadersTooLarge) : 0;
 }
 
+auto HttpInspector::onTarget(const char* at, std::size_t length) -> int
+{
+    return std::all_of(at, at + length, isTargetByte) ? onHeaderBytes(at + length)
+                                                      : refuse(HttpRefusal::Malformed);
+}
+
 auto HttpInspector::onHeaderName(const char* at, std::size_t length) -> int
 {
+    if (!std::all_of(at, at + length, isNameByte)) {
+        return refuse(HttpRefusal::Malformed);
+    }
     if (headersComplete_) {
         return 0; // Trailers are dropped; the parser itself bounds their size.
     }
@@ -176,6 +215,9 @@
 
 auto HttpInspector::onHeaderValue(const char* at, std::size_t length) -> int
 {
+    if (!std::all_of(at, at + length, isValueByte)) {
+        return refuse(HttpRefusal::Malformed);
+    }
     if (headersComplete_) {
         return 0;
     }
--- a/src/libnet/http_inspector.h
+++ b/src/libnet/http_inspector.h
@@ -46,6 +46,7 @@
 
     auto startRequest() -> void;
     auto onHeaderBytes(const char* end) -> int;
+    auto onTarget(const char* at, std::size_t length) -> int;
     auto onHeaderName(const char* at, std::size_t length) -> int;
     auto onHeaderValue(const char* at, std::size_t length) -> int;
     auto onHeadersComplete() -> int;
