--- a/src/include/wagtailhead/shedding.h
+++ b/src/include/wagtailhead/shedding.h
@@ -27,9 +27,9 @@
 struct LevelTableOptions {
     /// A level without a new report is forgotten after this time.
     Duration expiry_ = seconds(2);
-    /// The strictest of the reports of about this time counts. Backend servers of one service report
-    /// slightly different levels, and without this time the level would follow every reply.
-    Duration hold_ = milliseconds(200);
+    /// The strictest of the reports of this time, or up to twice this time, counts. Backend servers of one
+    /// service report slightly different levels, and without this time the level would follow every reply.
+    Duration hold_ = milliseconds(100);
     /// Share of the refused roots that pass as probes, so that recovery is noticed.
     double probeShare_ = 0.02;
     /// Most pairs of service and path group; further ones are not learned.
--- a/src/libcall/admission.cpp
+++ b/src/libcall/admission.cpp
@@ -17,6 +17,13 @@
 constexpr int queuePlacesPerSlot = 2;
 constexpr int minQueueLimit = 16;
 
+/// A full queue is worked off in `queuePlacesPerSlot` service times. A call that waits longer is overtaken
+/// by more important ones all the time.
+constexpr int queueTimeServiceTimes = 3;
+
+/// Critical calls count as fitting into capacity again after this time without shedding of critical calls.
+constexpr Duration exemptAfter = seconds(2);
+
 struct RunningEntry {
     std::uint64_t group_ = 0;
     TimePoint startedAt_;
@@ -52,7 +59,7 @@
             return decision;
         }
         queue_->push({ call, now });
-        evictOverflow(call.id_, decision.others_);
+        evictOverflow(call.id_, now, decision.others_);
         startNext(now, decision.others_);
         settle(now);
         takeOut(call.id_, decision);
@@ -67,13 +74,7 @@
         if (found == running_.end()) {
             return change;
         }
-        if (call.end_ == CallEnd::Completed) {
-            const auto total = now - found->second.startedAt_;
-            const auto subCalls = std::clamp(call.subCallTime_, Duration::zero(), total);
-            serviceTimes_.record(found->second.group_, total, now);
-            limit_->onCompletion(found->second.group_, total - subCalls, now);
-            ++stats_.completed_;
-        }
+        measure(found->second, call, now);
         running_.erase(found);
         advance(now, change);
         startNext(now, change);
@@ -143,6 +144,14 @@
         return static_cast<int>(running_.size());
     }
 
+    /// Returns the most calls that may run when a call of this priority is about to start. Experiments with
+    /// a lower limit hold critical calls back only when these alone exceed capacity.
+    auto limitFor(Priority priority, TimePoint now) const -> int
+    {
+        const bool exempt = priority == Priority::Critical && now - criticalShedAt_ > exemptAfter;
+        return exempt ? limit_->settledLimit() : limit_->limit();
+    }
+
     auto queueLimit() const -> std::size_t
     {
         const int limit = options_.queueLimit_ > 0
@@ -167,7 +176,11 @@
         for (const auto& queued : queue_->takeOverdue(now - queueTimeLimit(now))) {
             drop(queued, RefusalReason::QueueTime, change);
         }
-        if (levelControl_->isDue(now) && levelControl_->update(levelInput(), now)) {
+        const bool stricter = levelControl_->isDue(now) && levelControl_->update(levelInput(now), now);
+        if (levelControl_->level().priority_ == Priority::Critical) {
+            criticalShedAt_ = now;
+        }
+        if (stricter) {
             for (const auto& queued : queue_->takeShed(levelControl_->level())) {
                 drop(queued, RefusalReason::Shed, change);
             }
@@ -177,19 +190,38 @@
     auto queueTimeLimit(TimePoint now) const -> Duration
     {
         const bool overloaded = queue_->size() > 0 && now - queueEmptyAt_ >= options_.overloadAfter_;
-        return overloaded ? std::max(options_.overloadQueueTime_, serviceTimes_.overallMean())
-                          : std::max(options_.queueTime_, serviceTimes_.overallMean());
+        return std::max(overloaded ? options_.overloadQueueTime_ : options_.queueTime_,
+            queueTimeServiceTimes * serviceTimes_.overallMean());
     }
 
-    auto levelInput() const -> LevelInput
+    /// Returns what the level depends on, and begins the next span of measurement.
+    auto levelInput(TimePoint now) -> LevelInput
     {
-        LevelInput input { static_cast<double>(limit_->settledLimit()), {}, serviceTimes_.overallMean() };
+        LevelInput input;
+        input.limit_ = limit_->settledLimit();
+        input.presentLimit_ = limit_->limit();
+        input.serviceTime_ = serviceTimes_.overallMean();
         for (std::size_t i = 0; i < priorityCount; ++i) {
             input.queued_.at(i) = queue_->counts().at(i) * toSeconds(input.serviceTime_);
         }
+        integrate(now);
+        const double length = toSeconds(now - inFlightFrom_);
+        input.inFlight_ = length > 0 ? inFlightSeconds_ / length : inFlight();
+        input.droppedWork_ = droppedFromQueue_ * toSeconds(input.serviceTime_);
+        inFlightFrom_ = now;
+        inFlightSeconds_ = 0;
+        droppedFromQueue_ = 0;
         return input;
     }
 
+    /// Adds the running calls since the last change to their integral over time.
+    auto integrate(TimePoint now) -> void
+    {
+        inFlightSeconds_ += settledInFlight_ * std::max(toSeconds(now - integratedTo_), 0.0);
+        integratedTo_ = now;
+        settledInFlight_ = inFlight();
+    }
+
     /// Returns the refusal of a call that is not even queued, if any.
     auto refuseAtOnce(const AdmissionCall& call, TimePoint now) const -> std::optional<Refusal>
     {
@@ -225,14 +257,14 @@
     }
 
     /// Drops the least important calls beyond the bound of the queue.
-    auto evictOverflow(AdmissionId arrived, AdmissionChange& change) -> void
+    auto evictOverflow(AdmissionId arrived, TimePoint now, AdmissionChange& change) -> void
     {
         if (options_.queue_ == Mechanism::Naive) {
             return;
         }
         // A call that can start at once takes no place in the queue.
         const auto free = static_cast<std::size_t>(
-            std::max(limit_->limit(queue_->front()->call_.priority_) - inFlight(), 0));
+            std::max(limitFor(queue_->front()->call_.priority_, now) - inFlight(), 0));
         while (queue_->size() > queueLimit() + free) {
             const auto victim = *queue_->back();
             queue_->remove(victim.call_.id_);
@@ -245,7 +277,7 @@
     {
         while (const auto* next = queue_->front()) {
             const auto call = next->call_;
-            if (inFlight() >= limit_->limit(call.priority_)) {
+            if (inFlight() >= limitFor(call.priority_, now)) {
                 return;
             }
             queue_->remove(call.id_);
@@ -259,6 +291,22 @@
         }
     }
 
+    /// Takes the measurements of an ended call.
+    auto measure(const RunningEntry& entry, const FinishedCall& call, TimePoint now) -> void
+    {
+        const auto total = now - entry.startedAt_;
+        if (call.end_ == CallEnd::Completed) {
+            const auto subCalls = std::clamp(call.subCallTime_, Duration::zero(), total);
+            serviceTimes_.record(entry.group_, total, now);
+            limit_->onCompletion(entry.group_, total - subCalls, now);
+            ++stats_.completed_;
+        } else if (call.end_ == CallEnd::Cancelled && total > serviceTimes_.mean(entry.group_)) {
+            // The call would have taken even longer. Without this, a backend server too slow for all
+            // deadlines would seem as fast as the few calls that it completes.
+            serviceTimes_.record(entry.group_, total, now);
+        }
+    }
+
     /// Passes the state after a decision on to the mechanisms.
     auto settle(TimePoint now) -> void
     {
@@ -266,10 +314,12 @@
             queueEmptyAt_ = now;
         }
         limit_->onInFlight(inFlight(), queue_->size() > 0, now);
+        integrate(now);
     }
 
     auto drop(const QueuedCall& queued, RefusalReason reason, AdmissionChange& change) -> void
     {
+        droppedFromQueue_ += reason == RefusalReason::Shed ? 0 : 1;
         const bool local = reason != RefusalReason::Shed && isLocal(queued.call_.priority_);
         drop(queued.call_.id_, reason, local, change);
     }
@@ -312,6 +362,12 @@
     ServiceTimes serviceTimes_;
     std::unordered_map<AdmissionId, RunningEntry> running_;
     TimePoint queueEmptyAt_;
+    TimePoint criticalShedAt_;
+    TimePoint inFlightFrom_;
+    TimePoint integratedTo_;
+    double inFlightSeconds_ = 0;
+    int settledInFlight_ = 0;
+    int droppedFromQueue_ = 0; ///< Since the last update of the level.
     AdmissionStats stats_;
 };
 
--- a/src/libcall/concurrency_limit.cpp
+++ b/src/libcall/concurrency_limit.cpp
@@ -1,25 +1,22 @@
 #include "concurrency_limit.h"
 
-#include <algorithm>
+#include "adaptive_limit.h"
+
 #include <limits>
 
 namespace wagtailhead {
 
 namespace {
 
-auto boundByConnections(int limit, int connections) -> int
-{
-    return connections > 0 ? std::min(limit, connections) : limit;
-}
-
-class ConnectionLimit : public ConcurrencyLimit {
+/// The naive limit: as many calls as connections.
+class ConnectionLimit final : public ConcurrencyLimit {
 public:
     explicit ConnectionLimit(int connections)
     {
-        resize(0, connections);
+        ConnectionLimit::resize(0, connections);
     }
 
-    auto limit(Priority /*priority*/) const -> int override
+    auto limit() const -> int override
     {
         return limit_;
     }
@@ -40,27 +37,13 @@
 
     auto resize(int /*slots*/, int connections) -> void override
     {
-        limit_ = boundByConnections(std::numeric_limits<int>::max(), connections);
+        limit_ = connections > 0 ? connections : std::numeric_limits<int>::max();
     }
 
-protected:
+private:
     int limit_ = 1;
 };
 
-class SlotLimit final : public ConnectionLimit {
-public:
-    SlotLimit(int slots, int connections)
-        : ConnectionLimit(connections)
-    {
-        SlotLimit::resize(slots, connections);
-    }
-
-    auto resize(int slots, int connections) -> void override
-    {
-        limit_ = boundByConnections(std::max(slots, 1), connections);
-    }
-};
-
 } // namespace
 
 auto ConcurrencyLimit::create(const AdmissionOptions& options) -> std::unique_ptr<ConcurrencyLimit>
@@ -68,7 +51,7 @@
     if (options.limit_ == Mechanism::Naive) {
         return std::make_unique<ConnectionLimit>(options.connections_);
     }
-    return std::make_unique<SlotLimit>(options.slots_, options.connections_);
+    return std::make_unique<AdaptiveLimit>(options);
 }
 
 } // namespace wagtailhead
--- a/src/libcall/concurrency_limit.h
+++ b/src/libcall/concurrency_limit.h
@@ -16,8 +16,8 @@
 
     virtual ~ConcurrencyLimit() = default;
 
-    /// Returns the most calls that may run when a call of this priority is about to start.
-    virtual auto limit(Priority priority) const -> int = 0;
+    /// Returns the most calls that may run at once.
+    virtual auto limit() const -> int = 0;
 
     /// Returns the limit apart from short experiments with lower ones.
     virtual auto settledLimit() const -> int = 0;
--- a/src/libcall/level_control.cpp
+++ b/src/libcall/level_control.cpp
@@ -1,5 +1,7 @@
 #include "level_control.h"
 
+#include "adaptive_level.h"
+
 namespace wagtailhead {
 
 namespace {
@@ -29,8 +31,11 @@
 
 } // namespace
 
-auto LevelControl::create(Mechanism /*mechanism*/) -> std::unique_ptr<LevelControl>
+auto LevelControl::create(Mechanism mechanism) -> std::unique_ptr<LevelControl>
 {
+    if (mechanism == Mechanism::Adaptive) {
+        return std::make_unique<AdaptiveLevel>();
+    }
     return std::make_unique<NoShedding>();
 }
 
--- a/src/libcall/level_control.h
+++ b/src/libcall/level_control.h
@@ -12,9 +12,12 @@
 
 /// What the level depends on at one moment.
 struct LevelInput {
-    double limit_ = 1; ///< Calls that may run at once.
+    double limit_ = 1; ///< Calls that may run at once, apart from short experiments with lower limits.
+    double presentLimit_ = 1; ///< The same with such an experiment.
     PriorityWork queued_ {}; ///< Work that waits in the queue.
     Duration serviceTime_ = Duration::zero(); ///< Mean of all calls.
+    double inFlight_ = 0; ///< Mean since the last update.
+    double droppedWork_ = 0; ///< Admitted since the last update or before, but dropped from the queue.
 };
 
 /// Computes the shedding level. Not thread safe.
--- a/src/libcall/service_times.cpp
+++ b/src/libcall/service_times.cpp
@@ -10,8 +10,11 @@
 /// Bounds the memory of a table whose keys come from callers; further groups share the overall estimate.
 constexpr std::size_t maxGroups = 256;
 
-/// Weight of a new sample once the estimate has settled.
-constexpr double sampleWeight = 0.1;
+/// Estimates remember about this time, and at least this many samples. The level of shedding follows them,
+/// so the noise of few samples would make it flap.
+constexpr double memorySeconds = 0.25;
+constexpr double minMemorySamples = 30;
+constexpr double minWeight = 0.004;
 
 /// Samples of a group before its own estimate is used.
 constexpr int minSamples = 3;
@@ -34,7 +37,9 @@
 auto ServiceTimes::Estimate::add(double sample, TimePoint now) -> void
 {
     ++samples_;
-    const double weight = std::max(1.0 / samples_, sampleWeight);
+    const double settled
+        = std::clamp(toSeconds(now - lastSample_) / memorySeconds, minWeight, 1 / minMemorySamples);
+    const double weight = std::max(1.0 / samples_, settled);
     if (samples_ > 1) {
         deviation_ += weight * (std::abs(sample - mean_) - deviation_);
     }
