--- a/src/include/wagtailhead/ledger.h
+++ b/src/include/wagtailhead/ledger.h
@@ -30,7 +30,7 @@
     std::string shard_;
     std::string key_;
 
-    auto operator<=>(const KeyRef&) const = default;
+    auto operator<=>(const KeyRef&) const = default; // NOLINT(modernize-use-nullptr): false finding
 };
 
 /// A received `once` call.
--- a/src/include/wagtailhead/ledger_node.h
+++ b/src/include/wagtailhead/ledger_node.h
@@ -138,7 +138,7 @@
     /// Requests that this node has sent to itself and that still have to be handled.
     using Loop = std::vector<LedgerRequest>;
 
-    auto take(BeginResult&& begun, TimePoint now) -> std::pair<BeginResult, LedgerEffects>;
+    auto take(BeginResult begun, TimePoint now) -> std::pair<BeginResult, LedgerEffects>;
     auto absorb(OwnerEffects&& owner, TimePoint now, LedgerEffects& effects) -> void;
     auto absorb(Takeover& takeover, Takeover::Actions&& actions, TimePoint now, LedgerEffects& effects)
         -> void;
--- a/src/include/wagtailhead/messages.h
+++ b/src/include/wagtailhead/messages.h
@@ -19,7 +19,7 @@
     NodeRef entry_;
     std::uint64_t number_ = 0;
 
-    auto operator<=>(const AttemptId&) const = default;
+    auto operator<=>(const AttemptId&) const = default; // NOLINT(modernize-use-nullptr): false finding
     /// Returns `<node id>/<number>`.
     auto text() const -> std::string;
 };
@@ -30,7 +30,7 @@
     std::string shard_; ///< For instance "g/3" or "r/riga/5".
     std::uint64_t epoch_ = 0;
 
-    auto operator<=>(const ShardRef&) const = default;
+    auto operator<=>(const ShardRef&) const = default; // NOLINT(modernize-use-nullptr): false finding
 };
 
 /// The members of one epoch of a shard.
@@ -41,7 +41,7 @@
     /// As in the shard record: if not 0, only keys with a later issue time may run.
     std::uint64_t issuedAfterMs_ = 0;
 
-    auto operator<=>(const EpochMembers&) const = default;
+    auto operator<=>(const EpochMembers&) const = default; // NOLINT(modernize-use-nullptr): false finding
 };
 
 /// The load of a backend server as its own node measures it.
@@ -117,6 +117,7 @@
     ShardRef shard_;
     NodeRef owner_; ///< The owner of the epoch.
     NodeRef member_; ///< The member that is asked: the owner itself or a witness.
+    std::uint64_t bodyHash_ = 0; ///< A finished key with another body is answered 422 (key-reused).
     std::string key_;
     AttemptId attempt_;
 };
--- a/src/include/wagtailhead/once_call.h
+++ b/src/include/wagtailhead/once_call.h
@@ -58,9 +58,9 @@
     using Actions = std::vector<OnceAction>;
     using Record = std::optional<ShardRecord>;
 
-    /// `shard` names service and shard; its epoch is not used.
-    OnceCall(ShardRef shard, std::string key, AttemptId attempt, TimePoint acceptedAt, TimePoint deadline,
-        OnceCallOptions options = {});
+    /// `shard` names service and shard; its epoch is not used. `bodyHash` as in OnceArrival.
+    OnceCall(ShardRef shard, std::string key, std::uint64_t bodyHash, AttemptId attempt, TimePoint acceptedAt,
+        TimePoint deadline, OnceCallOptions options = {});
 
     /// `record` is always the newest record of the shard in the map.
     auto start(const Record& record, TimePoint now) -> Actions;
@@ -95,6 +95,7 @@
 
     const ShardRef shard_;
     const std::string key_;
+    const std::uint64_t bodyHash_;
     const AttemptId attempt_;
     const TimePoint deadline_;
     const OnceCallOptions options_;
--- a/src/include/wagtailhead/shard_map.h
+++ b/src/include/wagtailhead/shard_map.h
@@ -61,7 +61,7 @@
     /// (milliseconds since the Unix epoch) may run.
     std::uint64_t issuedAfterMs_ = 0;
 
-    auto operator<=>(const ShardRecord&) const = default;
+    auto operator<=>(const ShardRecord&) const = default; // NOLINT(modernize-use-nullptr): false finding
     auto members() const -> EpochMembers;
     auto ref() const -> ShardRef;
 };
--- a/src/libledger/ledger_node.cpp
+++ b/src/libledger/ledger_node.cpp
@@ -30,9 +30,10 @@
 }
 
 /// Moves the records of a result to the effects.
-auto LedgerNode::take(BeginResult&& begun, TimePoint now) -> std::pair<BeginResult, LedgerEffects>
+auto LedgerNode::take(BeginResult begun, TimePoint now) -> std::pair<BeginResult, LedgerEffects>
 {
-    std::pair<BeginResult, LedgerEffects> result { std::move(begun), {} };
+    std::pair<BeginResult, LedgerEffects> result;
+    result.first = std::move(begun);
     if (auto* recording = std::get_if<StartRecording>(&result.first)) {
         OwnerEffects owner;
         owner.requests_ = std::exchange(recording->requests_, {});
@@ -343,4 +344,20 @@
     return std::nullopt;
 }
 
+auto LedgerNode::owner() const -> const OwnerLedger&
+{
+    return owner_;
+}
+
+auto LedgerNode::witness() const -> const WitnessLedger&
+{
+    return witness_;
+}
+
+auto LedgerNode::takeoversInFlight() const -> std::size_t
+{
+    const std::lock_guard lock(mutex_);
+    return takeovers_.size();
+}
+
 } // namespace wagtailhead
--- a/src/libledger/once_call.cpp
+++ b/src/libledger/once_call.cpp
@@ -15,10 +15,11 @@
 
 } // namespace
 
-OnceCall::OnceCall(ShardRef shard, std::string key, AttemptId attempt, TimePoint acceptedAt,
-    TimePoint deadline, OnceCallOptions options)
+OnceCall::OnceCall(ShardRef shard, std::string key, std::uint64_t bodyHash, AttemptId attempt,
+    TimePoint acceptedAt, TimePoint deadline, OnceCallOptions options)
     : shard_(std::move(shard))
     , key_(std::move(key))
+    , bodyHash_(bodyHash)
     , attempt_(std::move(attempt))
     , deadline_(deadline)
     , options_(options)
@@ -132,8 +133,8 @@
     constexpr int shares = 3;
     const auto timeout
         = std::min(options_.fenceTimeout_, std::max((deadline_ - now) / shares, Duration::zero()));
-    actions_.emplace_back(
-        SendFence { ticket, member, { 0, fenced_.ref(), fenced_.owner_, member, key_, attempt_ }, timeout });
+    actions_.emplace_back(SendFence {
+        ticket, member, { 0, fenced_.ref(), fenced_.owner_, member, bodyHash_, key_, attempt_ }, timeout });
 }
 
 auto OnceCall::onFenceReply(
--- a/src/libledger/owned_shard.cpp
+++ b/src/libledger/owned_shard.cpp
@@ -53,7 +53,7 @@
         return join(open->second, call);
     }
     if (const auto* started = table_.find(call.key_)) {
-        return answerStarted(*started, call);
+        return answerStarted(*started, call.bodyHash_);
     }
     if (const auto refused = checkNew(call, now, wallNow)) {
         return *refused;
@@ -81,9 +81,9 @@
     return Join {};
 }
 
-auto OwnedShard::answerStarted(const KeyRecord& record, const OnceArrival& call) const -> BeginResult
+auto OwnedShard::answerStarted(const KeyRecord& record, std::uint64_t bodyHash) const -> BeginResult
 {
-    if (call.bodyHash_ != record.bodyHash_) {
+    if (bodyHash != record.bodyHash_) {
         return keyReused();
     }
     if (record.answer_) {
@@ -92,6 +92,21 @@
     return unknown(record.finished_ ? ledger_reason::answerExpired : ledger_reason::ownerLost);
 }
 
+auto OwnedShard::endStarted(Open::iterator at, const KeyRecord& record, OwnerEffects& effects) -> void
+{
+    const auto& open = at->second;
+    for (const auto& waiter : open.waiters_) {
+        const auto result = answerStarted(record, waiter.bodyHash_);
+        const auto* replay = std::get_if<Replay>(&result);
+        effects.replies_.push_back(
+            { waiter.id_, replay ? replay->answer_ : toAnswer(std::get<Refuse>(result)), always });
+    }
+    for (const auto& waiter : open.fences_) {
+        effects.fenceReplies_.emplace_back(waiter.token_, FenceReply { 0, FenceState::Started, {}, {} });
+    }
+    open_.erase(at);
+}
+
 auto OwnedShard::checkNew(const OnceArrival& call, TimePoint now, WallClock::time_point wallNow) const
     -> std::optional<Refuse>
 {
@@ -208,7 +223,7 @@
     };
     const auto at = open_.find(fence.key_);
     if (at == open_.end()) {
-        if (auto known = fenceFromRecord(fence.key_)) {
+        if (auto known = fenceFromRecord(fence.key_, fence.bodyHash_)) {
             reply(*known);
         } else if (mode_ == Mode::Closed || fence.shard_.epoch_ > record_.epoch_) {
             reply({ 0, FenceState::NotMine, {}, {} });
@@ -231,12 +246,16 @@
     reply({ 0, FenceState::Started, {}, {} });
 }
 
-auto OwnedShard::fenceFromRecord(const std::string& key) const -> std::optional<FenceReply>
+auto OwnedShard::fenceFromRecord(const std::string& key, std::uint64_t bodyHash) const
+    -> std::optional<FenceReply>
 {
     const auto* started = table_.find(key);
     if (!started) {
         return std::nullopt;
     }
+    if (started->bodyHash_ != bodyHash) {
+        return FenceReply { 0, FenceState::Finished, toAnswer(keyReused()), {} };
+    }
     if (started->answer_) {
         return FenceReply { 0, FenceState::Finished, *started->answer_, {} };
     }
--- a/src/libledger/owned_shard.h
+++ b/src/libledger/owned_shard.h
@@ -96,7 +96,9 @@
     using Open = std::map<std::string, OpenKey>;
 
     auto join(OpenKey& open, const OnceArrival& call) -> BeginResult;
-    auto answerStarted(const KeyRecord& record, const OnceArrival& call) const -> BeginResult;
+    auto answerStarted(const KeyRecord& record, std::uint64_t bodyHash) const -> BeginResult;
+    /// Answers all waiters and fences of a key that has turned out to be started by another owner.
+    auto endStarted(Open::iterator at, const KeyRecord& record, OwnerEffects& effects) -> void;
     auto checkNew(const OnceArrival& call, TimePoint now, WallClock::time_point wallNow) const
         -> std::optional<Refuse>;
     auto openKey(const OnceArrival& call, std::optional<Refusal> refusal, TimePoint now) -> BeginResult;
@@ -116,7 +118,7 @@
     /// Answers all waiters and fences of a key and closes it.
     auto endOpen(Open::iterator at, const Answer& answer, const FenceReply& fenceReply, TimePoint notRunUntil,
         OwnerEffects& effects) -> Open::iterator;
-    auto fenceFromRecord(const std::string& key) const -> std::optional<FenceReply>;
+    auto fenceFromRecord(const std::string& key, std::uint64_t bodyHash) const -> std::optional<FenceReply>;
     auto openFence(const Fence& fence, FenceToken token, TimePoint now, OwnerEffects& effects) -> void;
     auto sendOutcome(const std::string& key, const AttemptId& attempt, const Answer& answer,
         const std::vector<NodeRef>& targets, OwnerEffects& effects) const -> void;
--- a/src/libledger/owned_shard_epochs.cpp
+++ b/src/libledger/owned_shard_epochs.cpp
@@ -117,11 +117,8 @@
         if (open.state_ == KeyState::Running) {
             continue;
         }
-        if (const auto reply = fenceFromRecord(current->first)) {
-            // Another epoch in between has started it.
-            const auto isFinished = reply->state_ == FenceState::Finished;
-            const Answer lost { Outcome::Unknown, statusTimeout, ledger_reason::ownerLost, {}, {} };
-            endOpen(current, isFinished ? reply->answer_ : lost, *reply, {}, effects);
+        if (const auto* started = table_.find(current->first)) {
+            endStarted(current, *started, effects); // Another epoch in between has started it.
             continue;
         }
         auto requests = startRound(current->first, open, now);
--- a/src/libledger/owned_shard_rounds.cpp
+++ b/src/libledger/owned_shard_rounds.cpp
@@ -99,10 +99,9 @@
         return false; // The key waits for the next epoch.
     }
     if (reason == record_refusal::recorded) {
-        const auto at = open_.find(ticket.key_.key_);
-        table_.start(at->first, open.bodyHash_, now);
+        // Never expected. Which body has run is not known here, so nothing is added to the table.
         const Answer answer { Outcome::Unknown, statusTimeout, ledger_reason::ownerLost, {}, {} };
-        endOpen(at, answer, { 0, FenceState::Started, {}, {} }, {}, effects);
+        endOpen(open_.find(ticket.key_.key_), answer, { 0, FenceState::Started, {}, {} }, {}, effects);
         return false;
     }
     close(false, now, effects);
--- a/src/libledger/takeover_commit.cpp
+++ b/src/libledger/takeover_commit.cpp
@@ -138,11 +138,10 @@
 
 auto Takeover::takeCommitAck(const CommitAck& ack, const TakeoverView& view, TimePoint now) -> void
 {
-    if (ack.accepted_ || ack.known_.epoch_ == 0) {
-        continueCommitting();
-    } else if (ack.known_.epoch_ > record_.epoch_) {
+    const auto isRefused = !ack.accepted_ && ack.known_.epoch_ != 0;
+    if (isRefused && ack.known_.epoch_ > record_.epoch_) {
         stop("superseded", toRecord(ack.known_));
-    } else if (addBase(ack.known_)) {
+    } else if (isRefused && addBase(ack.known_)) {
         // The store has forgotten an epoch that may be active. It has to be sealed as well.
         highestSeen_ = std::max(highestSeen_, record_.epoch_);
         step_ = Step::Sealing;
--- a/src/libledger/witnessed_shard.cpp
+++ b/src/libledger/witnessed_shard.cpp
@@ -119,6 +119,11 @@
         return { 0, FenceState::NotMine, {}, {} };
     }
     if (const auto* known = table->records_.find(fence.key_)) {
+        if (known->finished_ && known->bodyHash_ != fence.bodyHash_) {
+            constexpr int statusKeyReused = 422;
+            return { 0, FenceState::Finished,
+                { Outcome::NotRun, statusKeyReused, ledger_reason::keyReused, {}, {} }, {} };
+        }
         return known->answer_ ? FenceReply { 0, FenceState::Finished, *known->answer_, {} }
                               : FenceReply { 0, FenceState::Started, {}, {} };
     }
