--- a/src/libledger/ledger_node.cpp
+++ b/src/libledger/ledger_node.cpp
@@ -30,9 +30,10 @@
 }
 
 /// Moves the records of a result to the effects.
-auto LedgerNode::take(BeginResult&& begun, TimePoint now) -> std::pair<BeginResult, LedgerEffects>
+auto LedgerNode::take(BeginResult begun, TimePoint now) -> std::pair<BeginResult, LedgerEffects>
 {
-    std::pair<BeginResult, LedgerEffects> result { std::move(begun), {} };
+    std::pair<BeginResult, LedgerEffects> result;
+    result.first = std::move(begun);
     if (auto* recording = std::get_if<StartRecording>(&result.first)) {
         OwnerEffects owner;
         owner.requests_ = std::exchange(recording->requests_, {});
