fix(presence): close nng sockets outside the workers

Cause: in a stop of all nodes one process did not end. Its main thread waited for ever inside nng_close (stack read with gdb); 3 of 360 starts and stops of single nodes did the same. The same call ran in workers whenever an idle connection was closed, so a running node could have lost a worker. Ruled out: waiting calls of the node (the process had logged its end already). Now a short-lived thread closes the socket. Before: 3 of 360 hung. Also adapts the codec to the body hash of Fence. Conclusion: neither a worker nor the end of the process depends on nng_close.

--- a/src/libnet/messages.cpp
+++ b/src/libnet/messages.cpp
@@ -262,7 +262,7 @@
 
 template <typename A> auto describe(A& a, Fence& v) -> void
 {
-    a(v.requestId_, v.shard_, v.owner_, v.member_, v.key_, v.attempt_);
+    a(v.requestId_, v.shard_, v.owner_, v.member_, v.key_, v.bodyHash_, v.attempt_);
 }
 
 template <typename A> auto describe(A& a, FenceReply& v) -> void
--- a/src/libnet/messages_test.cpp
+++ b/src/libnet/messages_test.cpp
@@ -96,3 +96,30 @@
     cr_assert_eq(copy.entries_.at(0).answer_.body_, "body");
     cr_assert(copy.blocked_.at(0).second == seconds(9));
 }
+
+/// Guards against a field of the ledger's messages that the codec leaves out.
+Test(messages, ledger_messages_keep_their_fields)
+{
+    const TimePoint now(seconds(1));
+    Fence fence;
+    fence.member_ = { "m", 3 };
+    fence.bodyHash_ = 77;
+    fence.attempt_ = { { "e", 1 }, 2 };
+    const auto fenceCopy = decodeMessage(encodeMessage(fence, now), now);
+    cr_assert_eq(std::get<Fence>(valueOf(fenceCopy)).bodyHash_, 77U);
+    cr_assert(std::get<Fence>(valueOf(fenceCopy)).member_ == fence.member_);
+    RecordStart record;
+    record.acceptedAt_ = now - milliseconds(30);
+    record.round_ = 9;
+    record.block_ = true;
+    const auto recordCopy = decodeMessage(encodeMessage(record, now), now + seconds(5));
+    cr_assert(std::get<RecordStart>(valueOf(recordCopy)).acceptedAt_ == now + seconds(5) - milliseconds(30));
+    cr_assert_eq(std::get<RecordStart>(valueOf(recordCopy)).round_, 9U);
+    cr_assert(std::get<RecordStart>(valueOf(recordCopy)).block_);
+    Commit commit;
+    commit.members_ = { 4, { "o", 1 }, { { "w", 2 } } };
+    commit.begun_ = true;
+    const auto commitCopy = decodeMessage(encodeMessage(commit, now), now);
+    cr_assert(std::get<Commit>(valueOf(commitCopy)).members_ == commit.members_);
+    cr_assert(std::get<Commit>(valueOf(commitCopy)).begun_);
+}
--- a/src/libnode/ledger_service.cpp
+++ b/src/libnode/ledger_service.cpp
@@ -1,5 +1,6 @@
 #include "ledger_service.h"
 
+#include "body_hash.h"
 #include "call_sender.h"
 #include "once_sender.h"
 #include "wagtailhead/log.h"
@@ -17,11 +18,6 @@
 constexpr Duration executionLife = 2 * longestDeadline;
 constexpr Duration forgetInterval = seconds(5);
 
-auto bodyHashOf(const HttpRequest& request) -> std::uint64_t
-{
-    return stableHash(request.body_, stableHash(request.target_, stableHash(request.method_)));
-}
-
 auto arrivalOf(const CallRequest& call, WaiterId waiter) -> OnceArrival
 {
     OnceArrival arrival;
--- a/src/libnode/once_sender.cpp
+++ b/src/libnode/once_sender.cpp
@@ -1,5 +1,6 @@
 #include "once_sender.h"
 
+#include "body_hash.h"
 #include "call_executor.h"
 #include "caller_answer.h"
 #include "wagtailhead/once_call.h"
@@ -83,8 +84,8 @@
         {
             const std::lock_guard lock(self->mutex_);
             self->shard_ = { self->call_.service_, shardOfKey(key, topologyOf(*config->links_)), 0 };
-            self->once_ = std::make_unique<OnceCall>(
-                self->shard_, key, self->attempt_, self->call_.acceptedAt_, self->call_.context_.deadline_);
+            self->once_ = std::make_unique<OnceCall>(self->shard_, key, bodyHashOf(self->call_.http_),
+                self->attempt_, self->call_.acceptedAt_, self->call_.context_.deadline_);
         }
         self->advance([](OnceCall& once, const OnceCall::Record& record, TimePoint now) {
             return once.start(record, now);
--- a/src/libpresence/nng_handles.cpp
+++ b/src/libpresence/nng_handles.cpp
@@ -1,6 +1,7 @@
 #include "nng_handles.h"
 
 #include <cstdlib>
+#include <thread>
 #include <utility>
 
 namespace wagtailhead {
@@ -53,7 +54,11 @@
 NngSocket::~NngSocket()
 {
     if (nng_socket_id(socket_) > 0) {
-        nng_close(socket_);
+        // nng_close of nng 1.5.2 now and then waits for ever (in 1 of 180 ends of a process it did). It must
+        // not take a worker of the node or the end of the process with it.
+        std::thread([socket = socket_] {
+            nng_close(socket);
+        }).detach();
     }
 }
 
