--- a/src/libcall/admission.cpp
+++ b/src/libcall/admission.cpp
@@ -3,6 +3,7 @@
 #include "admission_queue.h"
 #include "concurrency_limit.h"
 #include "level_control.h"
+#include "load_meter.h"
 #include "service_times.h"
 
 #include <algorithm>
@@ -29,11 +30,6 @@
     TimePoint startedAt_;
 };
 
-auto toSeconds(Duration duration) -> double
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 class AdmissionController::Impl {
@@ -53,16 +49,19 @@
         levelControl_->onArrival(call.priority_, call.rootHash_, serviceTimes_.mean(call.group_));
         AdmissionDecision decision;
         advance(now, decision.others_);
-        if (const auto refusal = refuseAtOnce(call, now)) {
+        const auto refusal = refuseAtOnce(call, now);
+        if (refusal) {
             decision.refusal_ = *refusal;
             countRefusal(*refusal);
-            return decision;
+        } else {
+            queue_->push({ call, now });
+            evictOverflow(call.id_, now, decision.others_);
         }
-        queue_->push({ call, now });
-        evictOverflow(call.id_, now, decision.others_);
         startNext(now, decision.others_);
         settle(now);
-        takeOut(call.id_, decision);
+        if (!refusal) {
+            takeOut(call.id_, decision);
+        }
         return decision;
     }
 
@@ -76,9 +75,7 @@
         }
         measure(found->second, call, now);
         running_.erase(found);
-        advance(now, change);
-        startNext(now, change);
-        settle(now);
+        proceed(now, change);
         return change;
     }
 
@@ -89,9 +86,7 @@
         if (queue_->remove(id)) {
             drop(id, RefusalReason::Cancelled, false, change);
         }
-        advance(now, change);
-        startNext(now, change);
-        settle(now);
+        proceed(now, change);
         return change;
     }
 
@@ -99,9 +94,7 @@
     {
         const std::lock_guard lock(mutex_);
         AdmissionChange change;
-        advance(now, change);
-        startNext(now, change);
-        settle(now);
+        proceed(now, change);
         return change;
     }
 
@@ -112,9 +105,7 @@
         options_.connections_ = connections;
         limit_->resize(slots, connections);
         AdmissionChange change;
-        advance(now, change);
-        startNext(now, change);
-        settle(now);
+        proceed(now, change);
         return change;
     }
 
@@ -167,6 +158,13 @@
         return level == SheddingLevel {} || priority < level.priority_;
     }
 
+    auto proceed(TimePoint now, AdmissionChange& change) -> void
+    {
+        advance(now, change);
+        startNext(now, change);
+        settle(now);
+    }
+
     /// Drops what has become hopeless in the queue, and updates the level when it is due.
     auto advance(TimePoint now, AdmissionChange& change) -> void
     {
@@ -194,34 +192,16 @@
             queueTimeServiceTimes * serviceTimes_.overallMean());
     }
 
-    /// Returns what the level depends on, and begins the next span of measurement.
     auto levelInput(TimePoint now) -> LevelInput
     {
         LevelInput input;
         input.limit_ = limit_->settledLimit();
         input.presentLimit_ = limit_->limit();
         input.serviceTime_ = serviceTimes_.overallMean();
-        for (std::size_t i = 0; i < priorityCount; ++i) {
-            input.queued_.at(i) = queue_->counts().at(i) * toSeconds(input.serviceTime_);
-        }
-        integrate(now);
-        const double length = toSeconds(now - inFlightFrom_);
-        input.inFlight_ = length > 0 ? inFlightSeconds_ / length : inFlight();
-        input.droppedWork_ = droppedFromQueue_ * toSeconds(input.serviceTime_);
-        inFlightFrom_ = now;
-        inFlightSeconds_ = 0;
-        droppedFromQueue_ = 0;
+        meter_.read(input, queue_->counts(), now);
         return input;
     }
 
-    /// Adds the running calls since the last change to their integral over time.
-    auto integrate(TimePoint now) -> void
-    {
-        inFlightSeconds_ += settledInFlight_ * std::max(toSeconds(now - integratedTo_), 0.0);
-        integratedTo_ = now;
-        settledInFlight_ = inFlight();
-    }
-
     /// Returns the refusal of a call that is not even queued, if any.
     auto refuseAtOnce(const AdmissionCall& call, TimePoint now) const -> std::optional<Refusal>
     {
@@ -314,12 +294,14 @@
             queueEmptyAt_ = now;
         }
         limit_->onInFlight(inFlight(), queue_->size() > 0, now);
-        integrate(now);
+        meter_.onInFlight(inFlight(), now);
     }
 
     auto drop(const QueuedCall& queued, RefusalReason reason, AdmissionChange& change) -> void
     {
-        droppedFromQueue_ += reason == RefusalReason::Shed ? 0 : 1;
+        if (reason != RefusalReason::Shed) {
+            meter_.onDrop();
+        }
         const bool local = reason != RefusalReason::Shed && isLocal(queued.call_.priority_);
         drop(queued.call_.id_, reason, local, change);
     }
@@ -363,11 +345,7 @@
     std::unordered_map<AdmissionId, RunningEntry> running_;
     TimePoint queueEmptyAt_;
     TimePoint criticalShedAt_;
-    TimePoint inFlightFrom_;
-    TimePoint integratedTo_;
-    double inFlightSeconds_ = 0;
-    int settledInFlight_ = 0;
-    int droppedFromQueue_ = 0; ///< Since the last update of the level.
+    LoadMeter meter_;
     AdmissionStats stats_;
 };
 
