--- a/testsuite/standins/store_test.py
+++ b/testsuite/standins/store_test.py
@@ -150,7 +150,7 @@
         self.assertEqual(rolled["version"], version)
         self.assertEqual(rolled["objects"], [{"key": "a", "version": version, "value": "old"}])
         self.assertEqual(self.get("a").json["value"], "old")
-        again = self.store.call("GET", f"/v1/watch?prefix=&since={later}").json
+        again = self.store.call("GET", f"/v1/watch?prefix=&since={later}&timeout-ms=120000").json
         self.assertEqual(again, rolled, "a caller that was ahead must learn of the rollback at once")
         self.assertEqual(self.store.call("POST", "/-/rollback", {"version": 99}).status, 400)
 
