--- a/src/build-scripts/mesh_commands.py
+++ b/src/build-scripts/mesh_commands.py
@@ -58,6 +58,7 @@
         self.state_dir = os.path.abspath(state_dir)
         self.state = StateFile(self.state_dir)
         self.log_dir = os.path.join(self.state_dir, "logs")
+        self.audit_dir = os.path.join(self.state_dir, "audits")
         self.children = []
         self.plan = None
         self.processes = []
@@ -88,6 +89,9 @@
             if not os.access(path, os.X_OK):
                 raise MeshError(f"{path} is missing; build it with scripts/build")
         shutil.rmtree(self.log_dir, ignore_errors=True)
+        shutil.rmtree(self.audit_dir, ignore_errors=True)
+        if options.audit_files:
+            os.makedirs(self.audit_dir)
         self.plan = plan_with_free_ports(options, self.state_dir)
         try:
             self._start_all()
@@ -122,7 +126,11 @@
 
     def _backend(self, vm, replaced=False):
         return Process(f"{vm.node_id}.backend", "backend", vm.zone, vm.service.name, self.plan.backend(vm),
-                       vm.node_id, self.plan.sub_calls(vm), self.plan.backend_command(vm, replaced))
+                       vm.node_id, self.plan.sub_calls(vm),
+                       self.plan.backend_command(vm, replaced, self._audit_file(vm.node_id)))
+
+    def _audit_file(self, node_id):
+        return os.path.join(self.audit_dir, node_id) if self.plan.options.audit_files else ""
 
     def _node(self, vm):
         return Process(f"{vm.node_id}.node", "node", vm.zone, vm.service.name, self.plan.callers(vm), vm.node_id,
@@ -177,9 +185,11 @@
         """Prints one line for each process."""
         self._require()
         for process in self.processes:
-            print(f"role={process.role} pid={process.pid} zone={process.zone} service={process.service} "
-                  f"http={process.http} node={process.node or '-'} subcalls={process.subcalls or '-'} "
-                  f"state={state_of(process)}")
+            region = self.plan.deployment.zones.get(process.zone, "-")
+            audit = self._audit_file(process.node) if process.role == "backend" else ""
+            print(f"role={process.role} pid={process.pid} zone={process.zone} region={region} "
+                  f"service={process.service} http={process.http} node={process.node or '-'} "
+                  f"subcalls={process.subcalls or '-'} audit={audit or '-'} state={state_of(process)}")
 
     def down(self):
         """Ends the nodes, then the stand-ins, and forgets the mesh."""
--- a/src/build-scripts/mesh_plan.py
+++ b/src/build-scripts/mesh_plan.py
@@ -2,7 +2,7 @@
 import hashlib
 import os
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mesh_deployments import DEPLOYMENTS
 
@@ -34,6 +34,15 @@
     workers: int
     log_level: str
     bin_dir: str
+    node_flags: tuple = ()  # Further settings of every node, as NAME=VALUE.
+    slots_percent: int = 100  # Of the deployment's slots of each backend server.
+    service_time_percent: int = 100  # Of the deployment's service times.
+    spread_percent: int = 30  # Lognormal spread of service times.
+    leaves: bool = False  # Backend servers send no sub-calls.
+    audit_files: bool = False  # Backend servers write their executions to files, which outlive them.
+
+    def __post_init__(self):
+        object.__setattr__(self, "node_flags", tuple(self.node_flags))  # A list when read from the state file.
 
 
 @dataclass(frozen=True)
@@ -59,10 +68,16 @@
         self.store = self._address(f"127.{region + 1}.250.1", STORE)
         self.link = self._address("127.0.0.1", LINK)
 
+    def _scaled(self, service):
+        """Returns a service with the sizes that the options ask for."""
+        return replace(service, slots=max(1, round(service.slots * self.options.slots_percent / 100)),
+                       service_time_ms=round(service.service_time_ms * self.options.service_time_percent / 100),
+                       calls="" if self.options.leaves else service.calls)
+
     def _vms(self):
         placed = {zone: 0 for zone in self.zones}
         index = 0
-        for service in self.deployment.services:
+        for service in map(self._scaled, self.deployment.services):
             for number in range(1, (self.options.nodes_per_service or service.servers) + 1):
                 zone = self.zones[index % len(self.zones)]
                 index += 1
@@ -148,16 +163,18 @@
                 f"--zone-delay-us={ZONE_DELAY_US}", f"--region-delay-us={REGION_DELAY_US}",
                 f"--region-bytes-per-second={REGION_BYTES_PER_SECOND}", f"--log-level={self.options.log_level}"]
 
-    def backend_command(self, vm, replaced=False):
+    def backend_command(self, vm, replaced=False, audit_file=""):
         """Returns the command line of a backend server stand-in; a replaced one starts cold."""
         service = vm.service
         command = [self._program("standin-backend"), f"--listen={self.backend(vm)}", f"--service={service.name}",
                    f"--slots={service.slots}", f"--connections={service.connections}",
-                   f"--service-time-ms={service.service_time_ms}", f"--probe-ms={self.deployment.probe_ms}",
+                   f"--service-time-ms={service.service_time_ms}",
+                   f"--spread-percent={self.options.spread_percent}", f"--probe-ms={self.deployment.probe_ms}",
                    f"--subcalls={self.sub_calls(vm)}", f"--retries={self.deployment.retries}",
                    f"--cold-start-ms={REPLACEMENT_COLD_START_MS if replaced else 0}",
                    f"--log-level={self.options.log_level}"]
         command += [f"--call={service.calls}"] if service.calls else []
+        command += [f"--audit-file={audit_file}"] if audit_file else []
         return command + ([f"--body-size={service.body_sizes}"] if service.body_sizes else [])
 
     def node_command(self, vm):
@@ -174,7 +191,7 @@
         if self.options.links:
             command += [f"--zone-translate={zone}={self._prefix(vm.zone, zone)}0/24"
                         for zone in self.zones if zone != vm.zone]
-        return command
+        return command + [f"--{flag}" for flag in self.options.node_flags]
 
 
 def _is_free(address):
--- a/src/standins/libstandin/audit_log.h
+++ b/src/standins/libstandin/audit_log.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include "wagtailhead/clock.h"
+#include "wagtailhead/result.h"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <cstdio>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,6 +42,10 @@
 public:
     using Index = std::size_t;
 
+    /// Appends every begin and end to a file from now on, one JSON object in each line, so that the audit
+    /// outlives the process.
+    auto writeTo(const std::string& path) -> Result<Done>;
+
     auto begin(CallIdentity identity, WallClock::time_point now) -> Index;
 
     /// Precondition: the execution is running, and `state` is not Running.
@@ -57,6 +64,16 @@
         ExecutionState state_ = ExecutionState::Running;
     };
 
+    auto writeLine(const std::string& text) const -> void;
+
+    struct FileCloser {
+        auto operator()(std::FILE* file) const -> void
+        {
+            std::fclose(file);
+        }
+    };
+
+    std::unique_ptr<std::FILE, FileCloser> file_;
     std::vector<Execution> executions_;
     std::array<std::size_t, executionStateCount> counts_ {};
 };
--- a/src/standins/wagtailhead-standin-backend/backend_control.cpp
+++ b/src/standins/wagtailhead-standin-backend/backend_control.cpp
@@ -30,6 +30,11 @@
     return target.path_ == "/-/metrics" ? metricsResponse() : reasonResponse(404, "unknown-path");
 }
 
+auto BackendServer::writeAuditTo(const std::string& path) -> Result<Done>
+{
+    return audit_.writeTo(path);
+}
+
 auto BackendServer::handleFaults(const HttpRequest& request) -> HttpResponse
 {
     const auto parsed = parseBackendFaults(request.body_, faults_);
--- a/src/standins/wagtailhead-standin-backend/backend_server.h
+++ b/src/standins/wagtailhead-standin-backend/backend_server.h
@@ -37,6 +37,9 @@
 
     auto handle(HttpRequest request, const Responder& responder) -> void;
 
+    /// Appends every execution to a file from now on.
+    auto writeAuditTo(const std::string& path) -> Result<Done>;
+
     /// Refuses new calls, and stops the context as soon as no call is left.
     auto stopWhenIdle() -> void;
 
--- a/src/standins/wagtailhead-standin-backend/main.cpp
+++ b/src/standins/wagtailhead-standin-backend/main.cpp
@@ -34,6 +34,7 @@
   --parallel                   Sends the sub-calls of an execution at once, not one after another.
   --retries=<n>                Own repeats of a failed sub-call [0 if absent].
   --body-size=<rows>           METHOD:PATH=BYTES,... sets the least size of answers.
+  --audit-file=<path>          Appends the begin and end of every execution to this file.
   --seed=<n>                   Seed of all random choices [derived from --listen if absent].
   --log-level=<level>          debug, info, warning or error [info if absent].
   -h --help                    Show this text.
@@ -111,6 +112,9 @@
     const auto client = HttpClient::create(context, clientOptions);
     const auto service = options.service_;
     BackendServer backend(context, *client, std::move(options));
+    if (const auto path = settings.find("audit-file")) {
+        require(program, backend.writeAuditTo(*path));
+    }
     const auto server = require(program,
         HttpServer::open(context, serverOptions,
             [&backend](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
