--- a/src/include/wagtailhead/shard_map.h
+++ b/src/include/wagtailhead/shard_map.h
@@ -105,7 +105,8 @@
 
 /// Returns the members that may take the shard over, best first (rendezvous hash over the alive members
 /// with their backend server up). Global shards may be owned by any node of the service, the others by
-/// nodes of their region or zone. Empty for a malformed name.
+/// nodes of their region or zone, unless it has no backend server of the service. Empty for a malformed
+/// name.
 auto rankCandidates(const std::string& service, const std::string& shard, const MemberList& members)
     -> std::vector<const Member*>;
 
--- a/src/libnode/ledger_service.cpp
+++ b/src/libnode/ledger_service.cpp
@@ -353,8 +353,11 @@
 auto LedgerService::allShardsOwned() const -> bool
 {
     const auto names = ownShardNames();
+    const auto members = parts_.members_.snapshot();
     return std::all_of(names.begin(), names.end(), [&](const std::string& name) {
-        return parts_.shards_.find(parts_.service_, name).has_value();
+        // A region or zone without a backend server of the service cannot have an owner.
+        return parts_.shards_.find(parts_.service_, name)
+            || rankCandidates(parts_.service_, name, *members).empty();
     });
 }
 
--- a/src/libnode/ledger_service.h
+++ b/src/libnode/ledger_service.h
@@ -66,7 +66,7 @@
     /// Returns the number of shards that this node owns.
     auto activeShards() const -> std::size_t;
 
-    /// Returns whether every shard of the own service has an owner in the map.
+    /// Returns whether every shard of the own service that can have an owner has one in the map.
     auto allShardsOwned() const -> bool;
 
     auto dump() const -> nlohmann::json;
