--- a/src/standins/wagtailhead-standin-backend/sub_calls.cpp
+++ b/src/standins/wagtailhead-standin-backend/sub_calls.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+/// At its deadline an execution is cancelled, which ends its sub-calls. Their own timeout comes later, since
+/// it would make the execution count as failed.
+constexpr auto deadlineMargin = seconds(1);
+
 auto failureName(HttpFailure failure) -> const char*
 {
     switch (failure) {
@@ -70,7 +74,7 @@
 auto SubCallSet::send(std::size_t index) -> void
 {
     ++outcomes_[index].attempts_;
-    const auto timeout = std::max<Duration>(parent_.deadline_ - Clock::now(), milliseconds(1));
+    const auto timeout = std::max(parent_.deadline_ - Clock::now(), Duration::zero()) + deadlineMargin;
     requests_[index] = client_.send(options_.address_, request(index), timeout,
         [self = shared_from_this(), index](const HttpResult& result) {
             self->finished(index, result);
--- a/testsuite/standins/backend_test.py
+++ b/testsuite/standins/backend_test.py
@@ -183,6 +183,14 @@
         self.assertEqual(backend.call("GET", "/health").status, 200)
         self.assertEqual(len(node.requests), 1)
 
+    def test_deadline_during_a_sub_call_cancels(self):
+        """Guards against an expired execution that counts as failed because its sub-call expires as well."""
+        node, backend = self.start_with_sub_calls("--call=GET:/=GET:a:/x", "--retries=5")
+        node.hold.clear()
+        expired = backend.call("GET", "/", headers={"Wagtailhead-Deadline-Ms": "500"})
+        self.assertEqual(expired.status, 504)
+        self.await_states(backend, "cancelled")
+
     def test_connections_beyond_the_limit_are_closed(self):
         """Guards against a connection limit that lets more in, or never frees a place."""
         backend = self.start("--connections=2", "--service-time-ms=1")
