--- a/src/libledger/shard_placement.cpp
+++ b/src/libledger/shard_placement.cpp
@@ -80,9 +80,10 @@
     }
     // A region or zone without any backend server of the service is served from elsewhere; its keys would
     // have no owner at all otherwise. A takeover is safe whoever starts it.
-    const bool placeServed = std::any_of(ofService->second.begin(), ofService->second.end(), [&](const Member* member) {
-        return canOwn(*member) && isInPlace(*member, valueOf(name));
-    });
+    const bool placeServed
+        = std::any_of(ofService->second.begin(), ofService->second.end(), [&](const Member* member) {
+              return canOwn(*member) && isInPlace(*member, valueOf(name));
+          });
     for (const auto* member : ofService->second) {
         const bool eligible = !placeServed || isInPlace(*member, valueOf(name));
         if (member->state_ == MemberState::Alive && member->backendUp_ && eligible) {
--- a/src/libnode/node_dump.cpp
+++ b/src/libnode/node_dump.cpp
@@ -82,6 +82,18 @@
         { "dialersOpen", stats.transport_.dialersOpen_ } };
 }
 
+auto storeJson(const StoreLink& store) -> Json
+{
+    const auto counts = store.counts();
+    const auto agent = store.agentStats();
+    return { { "reads", counts.reads_ }, { "writes", counts.writes_ }, { "watches", counts.watches_ },
+        { "unavailable", counts.unavailable_ }, { "timeouts", counts.timeouts_ },
+        { "conflicts", counts.conflicts_ },
+        { "heldLease", agent.heldLease_ ? Json(*agent.heldLease_) : Json() },
+        { "lastVersion", agent.lastVersion_ }, { "itemsRefused", agent.itemsRefused_ },
+        { "rollbacksSeen", agent.rollbacksSeen_ } };
+}
+
 } // namespace
 
 auto dumpNode(const NodeDumpParts& parts) -> nlohmann::json
@@ -92,7 +104,7 @@
         { "incarnation", settings.self_.incarnation_ }, { "zone", settings.zone_ },
         { "region", settings.region_ }, { "service", settings.service_ }, { "ready", parts.ready_ },
         { "leaving", parts.leaving_ }, { "uptimeSeconds", toMilliseconds(parts.uptime_) / 1000 },
-        { "backendUp", parts.executor_.isBackendUp() }, { "storeReachable", parts.store_.isReachable() },
+        { "backendUp", parts.executor_.isBackendUp() }, { "store", storeJson(parts.store_) },
         { "config", configJson(parts.config_) },
         { "requests",
             { { "inFlight", parts.entry_.inFlight() }, { "completed", entry.completed_ },
--- a/src/libnode/store_link.cpp
+++ b/src/libnode/store_link.cpp
@@ -1,130 +1,113 @@
 #include "store_link.h"
 
-#include <nlohmann/json.hpp>
+#include <asio/post.hpp>
 
 namespace wagtailhead {
 
 namespace {
 
-constexpr Duration storeTimeout = milliseconds(1000);
-constexpr Duration pollInterval = seconds(1);
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
-constexpr int statusPreconditionFailed = 412;
-const std::string objectPath = "/v1/objects/";
+/// Shard moves are urgent for orders; they are repeated by the takeover itself.
+constexpr Duration storeTimeout = milliseconds(1500);
 
-auto storedShardOf(const std::string& body) -> std::optional<StoredShard>
+auto storedShardOf(const StoreObject& object) -> StoredShard
 {
-    const auto json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object() || !json.contains("value") || !json.contains("version")) {
-        return std::nullopt;
+    return { object.version_, object.value_ };
+}
+
+auto readResultOf(const StoreResult<StoreObject>& result) -> StoreReadResult
+{
+    if (isOk(result)) {
+        return storedShardOf(std::get<0>(result));
+    }
+    const auto& failure = std::get<StoreFailure>(result);
+    return failure.error_.code_ == ErrorCode::NotFound ? StoreReadResult(StoreAbsent {})
+                                                       : StoreReadResult(StoreFailed {});
+}
+
+auto writeResultOf(const StoreResult<StoreVersion>& result) -> StoreWriteResult
+{
+    if (isOk(result)) {
+        return StoreWritten { std::get<0>(result) };
+    }
+    const auto& failure = std::get<StoreFailure>(result);
+    if (failure.error_.code_ == ErrorCode::NotFound) {
+        return StoreAbsent {};
+    }
+    if (failure.error_.code_ != ErrorCode::Conflict) {
+        return StoreFailed {};
     }
-    return StoredShard { json["version"].get<std::uint64_t>(), json["value"].dump() };
+    return failure.current_ ? StoreWriteResult(storedShardOf(*failure.current_))
+                            : StoreWriteResult(StoreAbsent {});
 }
 
 } // namespace
 
-StoreLink::StoreLink(asio::io_context& context, HttpClient& http, const NodeSettings& settings, MemberTable&,
-    ItemTable& items, PresenceService&)
-    : http_(http)
-    , store_(settings.store_)
+StoreLink::StoreLink(asio::io_context& context, HttpClient& http, const NodeSettings& settings,
+    MemberTable& members, ItemTable& items, PresenceService& presence)
+    : context_(context)
+    , settings_(settings)
+    , members_(members)
     , items_(items)
-    , timer_(context)
+    , presence_(presence)
+    , client_(http, { settings.store_, storeTimeout })
 {
 }
 
 auto StoreLink::start() -> void
 {
-    poll("config/");
-    poll("shards/");
-    schedule();
+    StoreAgentOptions options;
+    options.self_ = settings_.self_;
+    options.zone_ = settings_.zone_;
+    options.seed_ = settings_.seed_;
+    agent_ = StoreAgent::create(
+        context_, client_, options, members_, items_, [this](std::vector<SeedAddress> seeds) {
+            presence_.addSeeds(std::move(seeds));
+        });
 }
 
-auto StoreLink::schedule() -> void
+auto StoreLink::release(std::function<void()> done) -> void
 {
-    timer_.expires_after(pollInterval);
-    timer_.async_wait([this](const asio::error_code& error) {
-        if (!error) {
-            start();
-        }
-    });
+    agent_->release(std::move(done));
 }
 
-auto StoreLink::poll(const std::string& prefix) -> void
+auto StoreLink::shards() -> ShardStore&
 {
-    http_.send(store_, { "GET", "/v1/objects?prefix=" + prefix, {}, {} }, storeTimeout,
-        [this](const HttpResult& result) {
-            onList(result);
-        });
+    return *this;
 }
 
-auto StoreLink::onList(const HttpResult& result) -> void
+auto StoreLink::client() -> StoreClient&
 {
-    const auto* response = std::get_if<HttpResponse>(&result);
-    reachable_ = response && response->status_ == statusOk;
-    if (!reachable_) {
-        return;
-    }
-    const auto json = nlohmann::json::parse(response->body_, nullptr, false);
-    if (!json.is_object()) {
-        return;
-    }
-    for (const auto& object : json.value("objects", nlohmann::json::array())) {
-        const auto key = object.value("key", "");
-        const auto& value = object["value"];
-        const auto generation
-            = value.value(key.starts_with("shards/") ? "epoch" : "generation", std::uint64_t { 0 });
-        items_.apply({ key, generation, value.dump() });
-    }
+    return client_;
 }
 
-auto StoreLink::shards() -> ShardStore&
+auto StoreLink::counts() const -> StoreCallCounts
 {
-    return *this;
+    return client_.counts();
 }
 
-auto StoreLink::isReachable() const -> bool
+auto StoreLink::agentStats() const -> StoreAgentStats
 {
-    return reachable_;
+    return agent_ ? agent_->stats() : StoreAgentStats {};
 }
 
 auto StoreLink::read(const std::string& key, std::function<void(StoreReadResult)> callback) -> void
 {
-    http_.send(store_, { "GET", objectPath + key, {}, {} }, storeTimeout,
-        [callback = std::move(callback)](const HttpResult& result) {
-            const auto* response = std::get_if<HttpResponse>(&result);
-            if (response && response->status_ == statusNotFound) {
-                callback(StoreAbsent {});
-                return;
-            }
-            const auto stored
-                = response && response->status_ == statusOk ? storedShardOf(response->body_) : std::nullopt;
-            callback(stored ? StoreReadResult(*stored) : StoreReadResult(StoreFailed {}));
-        });
+    client_.get(key, [callback = std::move(callback)](const StoreResult<StoreObject>& result) {
+        callback(readResultOf(result));
+    });
 }
 
 auto StoreLink::write(const std::string& key, const std::string& value, std::optional<std::uint64_t> version,
     std::function<void(StoreWriteResult)> callback) -> void
 {
-    const std::pair<std::string, std::string> condition
-        = version ? std::pair("If-Match", std::to_string(*version)) : std::pair("If-None-Match", "*");
-    HttpRequest request { "PUT", objectPath + key, { { "Content-Type", "application/json" }, condition },
-        value };
-    http_.send(
-        store_, std::move(request), storeTimeout, [callback = std::move(callback)](const HttpResult& result) {
-            const auto* response = std::get_if<HttpResponse>(&result);
-            if (response && response->status_ == statusOk) {
-                const auto json = nlohmann::json::parse(response->body_, nullptr, false);
-                callback(StoreWritten { json.is_object() ? json.value("version", std::uint64_t { 0 }) : 0 });
-                return;
-            }
-            if (response && response->status_ == statusPreconditionFailed) {
-                const auto stored = storedShardOf(response->body_);
-                callback(stored ? StoreWriteResult(*stored) : StoreWriteResult(StoreAbsent {}));
-                return;
-            }
-            callback(StoreFailed {});
-        });
+    auto onDone = [callback = std::move(callback)](const StoreResult<StoreVersion>& result) {
+        callback(writeResultOf(result));
+    };
+    if (version) {
+        client_.replace(key, *version, value, std::move(onDone));
+    } else {
+        client_.create(key, value, std::move(onDone));
+    }
 }
 
 } // namespace wagtailhead
--- a/src/libnode/store_link.h
+++ b/src/libnode/store_link.h
@@ -2,42 +2,44 @@
 #pragma once
 
 #include "ledger_service.h"
-#include "wagtailhead/http.h"
 #include "wagtailhead/node_settings.h"
 #include "wagtailhead/presence.h"
-
-#include <asio/steady_timer.hpp>
-#include <atomic>
+#include "wagtailhead/store_agent.h"
+#include "wagtailhead/store_client.h"
 
 namespace wagtailhead {
 
-/// Reads the configuration and the shard records, and writes shard records. Thread safe.
+/// Joins the store client, the agent that watches for the zone, and the shard objects. Thread safe.
 class StoreLink final : private ShardStore {
 public:
     StoreLink(asio::io_context& context, HttpClient& http, const NodeSettings& settings, MemberTable& members,
         ItemTable& items, PresenceService& presence);
 
-    /// Starts reading.
+    /// Starts the agent.
     auto start() -> void;
 
+    /// Gives up a lease; `done` runs in a thread of the context.
+    auto release(std::function<void()> done) -> void;
+
     auto shards() -> ShardStore&;
+    auto client() -> StoreClient&;
 
-    /// Returns whether the last call of the store succeeded.
-    auto isReachable() const -> bool;
+    /// Counts of the calls that this node made.
+    auto counts() const -> StoreCallCounts;
+    auto agentStats() const -> StoreAgentStats;
 
 private:
     auto read(const std::string& key, std::function<void(StoreReadResult)> callback) -> void override;
     auto write(const std::string& key, const std::string& value, std::optional<std::uint64_t> version,
         std::function<void(StoreWriteResult)> callback) -> void override;
-    auto poll(const std::string& prefix) -> void;
-    auto onList(const HttpResult& result) -> void;
-    auto schedule() -> void;
 
-    HttpClient& http_;
-    const Address store_;
+    asio::io_context& context_;
+    const NodeSettings& settings_;
+    MemberTable& members_;
     ItemTable& items_;
-    asio::steady_timer timer_;
-    std::atomic<bool> reachable_ { false };
+    PresenceService& presence_;
+    StoreClient client_;
+    std::unique_ptr<StoreAgent> agent_;
 };
 
 } // namespace wagtailhead
