fix(net): watch libcurl's sockets through duplicates

libcurl 7.88 closes a socket that is still connecting without calling CURLOPT_CLOSESOCKETFUNCTION. The Asio descriptor that owned the same number then closed it a second time, which hit whatever file had the number by then (seen with ThreadSanitizer as a race on the descriptor). Asio now owns a duplicate, and a socket that libcurl drops before it is established is forgotten at once.

--- a/src/libnet/curl_loop.cpp
+++ b/src/libnet/curl_loop.cpp
@@ -4,7 +4,9 @@
 #include <asio/bind_executor.hpp>
 #include <asio/defer.hpp>
 #include <asio/dispatch.hpp>
+#include <fcntl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace wagtailhead {
 
@@ -213,14 +215,14 @@
     using Descriptor = asio::posix::stream_descriptor;
     if (socket->wantsRead_ && !socket->awaitsRead_) {
         socket->awaitsRead_ = true;
-        socket->descriptor_.async_wait(Descriptor::wait_read,
+        socket->watched_.async_wait(Descriptor::wait_read,
             asio::bind_executor(strand_, [self = shared_from_this(), socket](asio::error_code error) {
                 self->onReadable(socket, error);
             }));
     }
     if (socket->wantsWrite_ && !socket->awaitsWrite_) {
         socket->awaitsWrite_ = true;
-        socket->descriptor_.async_wait(Descriptor::wait_write,
+        socket->watched_.async_wait(Descriptor::wait_write,
             asio::bind_executor(strand_, [self = shared_from_this(), socket](asio::error_code error) {
                 self->onWritable(socket, error);
             }));
@@ -246,13 +248,38 @@
 auto CurlLoop::act(const SocketPointer& socket, int events) -> void
 {
     int running = 0;
-    curl_multi_socket_action(multi_, socket->descriptor_.native_handle(), events, &running);
+    curl_multi_socket_action(multi_, socket->descriptor_, events, &running);
     settle();
     if (socket->open_) {
         awaitSocket(socket);
     }
 }
 
+auto CurlLoop::watchSocket(curl_socket_t descriptor) -> SocketPointer
+{
+    const auto duplicate = ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
+    if (duplicate < 0) {
+        return nullptr;
+    }
+    try {
+        auto socket = std::make_shared<Socket>(context_, descriptor, duplicate);
+        sockets_[descriptor] = socket;
+        return socket;
+    } catch (const std::exception&) {
+        ::close(duplicate);
+        return nullptr;
+    }
+}
+
+auto CurlLoop::forgetSocket(curl_socket_t descriptor) -> void
+{
+    if (auto node = sockets_.extract(descriptor)) {
+        node.mapped()->open_ = false;
+        asio::error_code ignored;
+        node.mapped()->watched_.close(ignored);
+    }
+}
+
 auto CurlLoop::openSocket(void* self, curlsocktype, curl_sockaddr* address) -> curl_socket_t
 {
     auto& loop = *static_cast<CurlLoop*>(self);
@@ -261,9 +288,8 @@
     if (descriptor < 0) {
         return CURL_SOCKET_BAD;
     }
-    try {
-        loop.sockets_[descriptor] = std::make_shared<Socket>(loop.context_, descriptor);
-    } catch (const std::exception&) {
+    loop.forgetSocket(descriptor);
+    if (!loop.watchSocket(descriptor)) {
         ::close(descriptor);
         return CURL_SOCKET_BAD;
     }
@@ -272,28 +298,31 @@
 
 auto CurlLoop::closeSocket(void* self, curl_socket_t descriptor) -> int
 {
-    auto& loop = *static_cast<CurlLoop*>(self);
-    if (auto node = loop.sockets_.extract(descriptor)) {
-        node.mapped()->open_ = false;
-        asio::error_code ignored;
-        node.mapped()->descriptor_.close(ignored);
-    }
-    return 0;
+    static_cast<CurlLoop*>(self)->forgetSocket(descriptor);
+    return ::close(descriptor);
 }
 
 auto CurlLoop::onSocketInterest(CURL* easy, curl_socket_t descriptor, int what, void* self, void*) -> int
 {
     auto& loop = *static_cast<CurlLoop*>(self);
     const auto found = loop.sockets_.find(descriptor);
-    if (found == loop.sockets_.end()) {
+    const auto socket = found != loop.sockets_.end() ? found->second
+        : what != CURL_POLL_REMOVE                   ? loop.watchSocket(descriptor)
+                                                     : nullptr;
+    if (!socket) {
         return 0;
     }
-    const auto& socket = found->second;
     socket->wantsRead_ = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
     socket->wantsWrite_ = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
+    socket->established_ = socket->established_ || socket->wantsRead_;
     if (socket->wantsWrite_) {
         CurlTransfer::of(easy).noteWaitsToWrite();
     }
+    if (what == CURL_POLL_REMOVE && !socket->established_) {
+        // libcurl (7.88) is about to close a socket that is still connecting, and does not call closeSocket.
+        loop.forgetSocket(descriptor);
+        return 0;
+    }
     loop.awaitSocket(socket);
     return 0;
 }
--- a/src/libnet/curl_loop.h
+++ b/src/libnet/curl_loop.h
@@ -33,15 +33,19 @@
     auto shutdown() -> void;
 
 private:
-    /// A connection of libcurl. The waits stay registered while the connection is idle, which saves a
-    /// system call for each request.
+    /// A connection of libcurl, watched through a duplicate of its descriptor, because libcurl closes some
+    /// sockets without a call of closeSocket: the number of such a socket may soon mean another file. The
+    /// waits stay registered while the connection is idle, which saves a system call for each request.
     struct Socket {
-        Socket(asio::io_context& context, curl_socket_t descriptor)
-            : descriptor_(context, descriptor)
+        Socket(asio::io_context& context, curl_socket_t descriptor, int duplicate)
+            : descriptor_(descriptor)
+            , watched_(context, duplicate)
         {
         }
-        asio::posix::stream_descriptor descriptor_;
+        const curl_socket_t descriptor_;
+        asio::posix::stream_descriptor watched_;
         bool open_ = true;
+        bool established_ = false;
         bool wantsRead_ = false;
         bool wantsWrite_ = false;
         bool awaitsRead_ = false;
@@ -70,6 +74,9 @@
     auto launch(QueuedRequest request) -> void;
     auto cancelNow(HttpClient::RequestId id) -> void;
     auto cancelAll() -> void;
+    /// Starts watching a socket of libcurl. Returns null if that fails.
+    auto watchSocket(curl_socket_t descriptor) -> SocketPointer;
+    auto forgetSocket(curl_socket_t descriptor) -> void;
     auto awaitSocket(const SocketPointer& socket) -> void;
     auto onReadable(const SocketPointer& socket, asio::error_code error) -> void;
     auto onWritable(const SocketPointer& socket, asio::error_code error) -> void;
--- a/src/libnet/host_queue.h
+++ b/src/libnet/host_queue.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace wagtailhead {
@@ -49,8 +50,16 @@
         std::deque<HttpClient::RequestId> waiting_; ///< May name requests that were removed.
     };
 
+    /// The comparison that the compiler makes for Address fails clang-tidy 14 (modernize-use-nullptr).
+    struct AddressLess {
+        auto operator()(const Address& left, const Address& right) const -> bool
+        {
+            return std::tie(left.ip_, left.port_) < std::tie(right.ip_, right.port_);
+        }
+    };
+
     const int maxRunningPerHost_;
-    std::map<Address, Host> hosts_;
+    std::map<Address, Host, AddressLess> hosts_;
     std::map<HttpClient::RequestId, QueuedRequest> waiting_;
     std::set<std::pair<TimePoint, HttpClient::RequestId>> deadlines_;
 };
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -1,6 +1,8 @@
 #include "http_test_support.h"
 
 #include <criterion/criterion.h>
+#include <fcntl.h>
+#include <filesystem>
 #include <sys/socket.h>
 
 using namespace wagtailhead;
@@ -53,6 +55,29 @@
     return { "127.0.0.1", acceptor.local_endpoint().port() };
 }
 
+/// A listener whose queue is full, so that connections to it are not established.
+class FullListener {
+public:
+    FullListener()
+        : acceptor_(context_)
+    {
+        acceptor_.open(asio::ip::tcp::v4());
+        acceptor_.bind({ asio::ip::address_v4::loopback(), 0 });
+        acceptor_.listen(0);
+        filler_ = std::make_unique<RawConnection>(address());
+    }
+
+    auto address() const -> Address
+    {
+        return { "127.0.0.1", acceptor_.local_endpoint().port() };
+    }
+
+private:
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::unique_ptr<RawConnection> filler_;
+};
+
 struct FailureCase {
     const char* name_;
     ScriptedServer::Script script_;
@@ -124,14 +149,9 @@
     const auto client = HttpClient::create(running.context_, options);
     cr_expect(isFailure(call(*client, refusedAddress(), post("x")), HttpFailure::NotSent), "refused");
 
-    asio::ip::tcp::acceptor full(running.context_);
-    full.open(asio::ip::tcp::v4());
-    full.bind({ asio::ip::address_v4::loopback(), 0 });
-    full.listen(0);
-    const Address address { "127.0.0.1", full.local_endpoint().port() };
-    const RawConnection fillsTheQueue(address);
-    cr_expect(isFailure(call(*client, address, post("x")), HttpFailure::NotSent), "connect timeout");
-    cr_expect(isFailure(call(*client, address, post("x"), milliseconds(50)), HttpFailure::NotSent),
+    const FullListener full;
+    cr_expect(isFailure(call(*client, full.address(), post("x")), HttpFailure::NotSent), "connect timeout");
+    cr_expect(isFailure(call(*client, full.address(), post("x"), milliseconds(50)), HttpFailure::NotSent),
         "timeout before the connection");
 
     for (const HttpRequest& invalid : { HttpRequest { "GET", "/a b", {}, {} },
@@ -229,6 +249,48 @@
     cr_assert_eq(cancelled, 1);
 }
 
+/// Guards against sockets that stay open, or close another file, when libcurl gives up a connection that is
+/// not established yet: it does not report that it closes them.
+Test(http_client, connections_that_fail_leave_no_descriptor)
+{
+    const auto countDescriptors = [] {
+        const std::filesystem::directory_iterator files("/proc/self/fd");
+        return std::distance(begin(files), end(files));
+    };
+    auto running = std::make_unique<RunningContext>();
+    const FullListener full;
+    HttpClientOptions options;
+    options.connectTimeout_ = milliseconds(100);
+    auto client = HttpClient::create(running->context_, options);
+    cr_assert(isFailure(call(*client, full.address(), get()), HttpFailure::NotSent));
+    const auto before = countDescriptors();
+    std::atomic<int> ended = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto id = client->send(full.address(), get(), patience, [&](HttpResult) {
+            ++ended;
+        });
+        if (i % 2 == 0) {
+            client->cancel(id);
+        }
+    }
+    cr_assert(eventually([&] {
+        return ended == 20;
+    }));
+    cr_assert(eventually([&] {
+        return countDescriptors() == before;
+    }));
+
+    std::vector<int> others;
+    for (int i = 0; i < 30; ++i) {
+        others.push_back(::open("/dev/null", O_RDONLY | O_CLOEXEC)); // Takes over the freed numbers.
+    }
+    client.reset();
+    running.reset();
+    for (const auto other : others) {
+        cr_assert(::fcntl(other, F_GETFD) >= 0, "descriptor %d was closed", other);
+    }
+}
+
 /// Guards against more connections than allowed, and against requests that wait for one forever.
 Test(http_client, requests_over_the_connection_limit_wait_and_time_out_unsent)
 {
