--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -343,6 +343,7 @@
 /// Guards against headers that libcurl adds or drops on its own, and against a wrong method or target.
 Test(http_client, request_arrives_as_given)
 {
+    setenv("http_proxy", "http://127.0.0.1:1", 1); // Must be ignored.
     RunningContext running;
     HttpRequest seen;
     const auto server = openServer(running, {}, [&](HttpRequest request, auto responder) {
--- a/src/libnet/http_connection.cpp
+++ b/src/libnet/http_connection.cpp
@@ -239,8 +239,7 @@
         return;
     }
     const auto now = Clock::now();
-    const auto isWriting = writingSince_ != TimePoint {};
-    if (closing_ ? now > drainUntil_ : isWriting && now > writingSince_ + writeLimit) {
+    if (isOverdue(now)) {
         closeNow();
         return;
     }
@@ -248,12 +247,23 @@
     const auto isReading = !closing_ && !refusal_ && running_.empty();
     if (isReading && inspector_.isInsideRequest() && now > requestSince_ + options_->requestTimeout_) {
         refusal_ = HttpRefusal::TooSlow;
-        refuseAfterAnswers();
-    } else if (!closing_ && now > idleSince_ + (running_.empty() ? options_->idleTimeout_ : handlerLimit)) {
-        closeNow();
-        return;
+        refuse();
     }
     scheduleCheck();
 }
 
+auto HttpConnection::isOverdue(TimePoint now) const -> bool
+{
+    if (closing_) {
+        return now > drainUntil_;
+    }
+    if (writingSince_ != TimePoint {}) {
+        return now > writingSince_ + writeLimit;
+    }
+    if (!running_.empty()) {
+        return now > idleSince_ + handlerLimit;
+    }
+    return !inspector_.isInsideRequest() && now > idleSince_ + options_->idleTimeout_;
+}
+
 } // namespace wagtailhead
--- a/src/libnet/http_connection.h
+++ b/src/libnet/http_connection.h
@@ -105,6 +105,7 @@
     auto notifyCallersGone() -> void;
     auto scheduleCheck() -> void;
     auto check() -> void;
+    auto isOverdue(TimePoint now) const -> bool;
 
     HttpSocket socket_;
     HttpTimer timer_;
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -1,6 +1,8 @@
 #include "http_test_support.h"
 
 #include <criterion/criterion.h>
+#include <random>
+#include <sys/resource.h>
 
 using namespace wagtailhead;
 using namespace wagtailhead::testing;
@@ -226,7 +228,8 @@
         ++started;
     });
     RawConnection closing(server->address());
-    RawConnection resetting(server->address(), asio::socket_base::linger(true, 0));
+    RawConnection resetting(server->address());
+    resetting.resetOnClose();
     RawConnection pipelining(server->address());
     for (auto* caller : { &closing, &resetting, &pipelining }) {
         cr_assert(caller->send(post("x")));
@@ -371,6 +374,58 @@
     cr_assert(idle.endsCleanly());
 }
 
+/// Guards against connections that are closed without an answer because the library refuses what the
+/// inspector let pass.
+Test(http_server, every_damaged_request_is_answered)
+{
+    constexpr unsigned seed = 20240611;
+    constexpr int inputs = 100;
+    RunningContext running;
+    auto options = smallLimits();
+    options.requestTimeout_ = milliseconds(100); // Some damage makes a request incomplete.
+    const auto server = openServer(running, options, echo);
+    const std::vector<std::string> sources { post("body"), chunked("4\r\nbody\r\n0\r\nX-T: 1\r\n\r\n"),
+        "GET /p?q HTTP/1.1\r\nHost: a\r\nConnection: keep-alive, Upgrade\r\nUpgrade: h2c\r\n\r\n" };
+    std::mt19937 random(seed);
+    for (int i = 0; i < inputs; ++i) {
+        auto input = sources[random() % sources.size()];
+        for (auto damages = 1 + random() % 3; damages > 0; --damages) {
+            const auto position = random() % input.size();
+            switch (random() % 3) {
+            case 0:
+                input[position] = static_cast<char>(random());
+                break;
+            case 1:
+                input.erase(position, 1);
+                break;
+            default:
+                input.insert(position, 1, input[random() % input.size()]);
+            }
+        }
+        RawConnection caller(server->address());
+        cr_assert(caller.send(input));
+        cr_assert_gt(caller.receive().status_, 0, "input %d of seed %u", i, seed);
+    }
+}
+
+/// Guards against a server that accepts nothing more once accepting has failed.
+Test(http_server, accepts_again_after_running_out_of_descriptors)
+{
+    RunningContext running;
+    const auto server = openServer(running, {}, echo);
+    RawConnection caller; // Takes its descriptor before there are no more.
+    rlimit limit {};
+    cr_assert_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+    auto none = limit;
+    none.rlim_cur = 0;
+    cr_assert_eq(setrlimit(RLIMIT_NOFILE, &none), 0);
+    caller.connect(server->address());
+    cr_assert(caller.send(post("x")));
+    std::this_thread::sleep_for(milliseconds(200)); // Gives the server time to fail.
+    cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+    cr_assert_eq(caller.receive().body_, "/p:x");
+}
+
 /// Guards against a planned stop that cuts calls in flight or open connections.
 Test(http_server, stop_accepting_leaves_open_connections)
 {
--- a/src/libnet/http_test_support.h
+++ b/src/libnet/http_test_support.h
@@ -76,18 +76,16 @@
 /// A blocking connection that sends bytes as they are.
 class RawConnection {
 public:
-    explicit RawConnection(const Address& address)
-        : RawConnection(address, asio::ip::tcp::socket::reuse_address(true))
+    /// Opens the socket without a connection.
+    RawConnection()
+        : socket_(context_, asio::ip::tcp::v4())
     {
+        limitWait();
     }
-    template <typename Option>
-    RawConnection(const Address& address, const Option& option)
-        : socket_(context_)
+    explicit RawConnection(const Address& address)
+        : RawConnection()
     {
-        socket_.open(asio::ip::tcp::v4());
-        socket_.set_option(option);
-        socket_.connect({ asio::ip::make_address(address.ip_), address.port_ });
-        limitWait();
+        connect(address);
     }
     explicit RawConnection(asio::ip::tcp::socket socket)
         : socket_(std::move(socket))
@@ -95,6 +93,17 @@
         limitWait();
     }
 
+    auto connect(const Address& address) -> void
+    {
+        socket_.connect({ asio::ip::make_address(address.ip_), address.port_ });
+    }
+
+    /// Makes `close` reset the connection.
+    auto resetOnClose() -> void
+    {
+        socket_.set_option(asio::socket_base::linger(true, 0));
+    }
+
     auto send(const std::string& bytes) -> bool
     {
         asio::error_code error;
