--- a/src/libnet/http_test_support.h
+++ b/src/libnet/http_test_support.h
@@ -68,7 +68,7 @@
 }
 
 struct RawResponse {
-    int status_ = 0; ///< 0 if the connection ended first.
+    int status_ = 0; ///< 0 for a request, and if the connection ended first.
     std::string head_;
     std::string body_;
 };
@@ -76,18 +76,16 @@
 /// A blocking connection that sends bytes as they are.
 class RawConnection {
 public:
-    explicit RawConnection(const Address& address)
-        : RawConnection(address, asio::ip::tcp::socket::reuse_address(true))
+    /// Opens the socket without a connection.
+    RawConnection()
+        : socket_(context_, asio::ip::tcp::v4())
     {
+        limitWait();
     }
-    template <typename Option>
-    RawConnection(const Address& address, const Option& option)
-        : socket_(context_)
+    explicit RawConnection(const Address& address)
+        : RawConnection()
     {
-        socket_.open(asio::ip::tcp::v4());
-        socket_.set_option(option);
-        socket_.connect({ asio::ip::make_address(address.ip_), address.port_ });
-        limitWait();
+        connect(address);
     }
     explicit RawConnection(asio::ip::tcp::socket socket)
         : socket_(std::move(socket))
@@ -95,6 +93,17 @@
         limitWait();
     }
 
+    auto connect(const Address& address) -> void
+    {
+        socket_.connect({ asio::ip::make_address(address.ip_), address.port_ });
+    }
+
+    /// Makes `close` reset the connection.
+    auto resetOnClose() -> void
+    {
+        socket_.set_option(asio::socket_base::linger(true, 0));
+    }
+
     auto send(const std::string& bytes) -> bool
     {
         asio::error_code error;
@@ -125,7 +134,9 @@
         }
         response.body_ = input_.substr(0, length);
         input_.erase(0, length);
-        response.status_ = std::atoi(response.head_.c_str() + std::string("HTTP/1.1 ").size());
+        if (const std::string version = "HTTP/1.1 "; response.head_.starts_with(version)) {
+            response.status_ = std::atoi(&response.head_[version.size()]);
+        }
         return response;
     }
 
