--- a/src/build-scripts/mesh_commands.py
+++ b/src/build-scripts/mesh_commands.py
@@ -191,11 +191,13 @@
                   f"service={process.service} http={process.http} node={process.node or '-'} "
                   f"subcalls={process.subcalls or '-'} audit={audit or '-'} state={state_of(process)}")
 
-    def down(self):
-        """Ends the nodes, then the stand-ins, and forgets the mesh."""
+    def down(self, at_once=False):
+        """Ends the nodes, then the stand-ins, and forgets the mesh. At once means without letting them leave."""
         if not self.plan:
             print("no mesh is running")
             return
+        if at_once:
+            mesh_processes.kill(self.processes)
         nodes = [process for process in self.processes if process.role == "node"]
         others = [process for process in self.processes if process.role != "node"]
         killed = mesh_processes.stop(nodes, NODE_STOP_TIMEOUT_S)
--- a/src/libload/recovery_test.cpp
+++ b/src/libload/recovery_test.cpp
@@ -10,9 +10,9 @@
 /// 40 windows of 500 ms: a surge from 8 s to 12 s in a load of 20 s.
 auto calmWindows() -> std::vector<Window>
 {
-    std::vector<Window> windows;
+    std::vector<Window> windows(40, Window { {}, 100, 100, milliseconds(20), milliseconds(100) });
     for (int i = 0; i < 40; ++i) {
-        windows.push_back({ milliseconds(500) * i, 100, 100, milliseconds(20), milliseconds(100) });
+        windows[static_cast<std::size_t>(i)].begin_ = milliseconds(500) * i;
     }
     return windows;
 }
--- a/src/libload/report_files.cpp
+++ b/src/libload/report_files.cpp
@@ -141,13 +141,14 @@
         reasons[reason] = count;
     }
     const Json document { { "deployment", data.deployment_ }, { "seed", data.seed_ },
-        { "loadAverage", data.loadAverage_ }, { "kinds", kindsJson(plan, summary.kinds_) },
-        { "surgeKinds", kindsJson(plan, summary.surgeKinds_) }, { "attemptEnds", reasons },
-        { "phases", phasesJson(summary) }, { "recovery", recoveryJson(plan, summary.recovery_) },
-        { "work", workJson(summary.totalWork_) }, { "surgeWork", workJson(summary.surgeWork_) },
-        { "slotUse", slotsJson(summary) }, { "bottleneck", summary.bottleneck_ },
-        { "attempts", attemptsJson(summary.attempts_) }, { "audit", findingsJson(data, summary.findings_) },
-        { "pairs", pairsJson(data) }, { "nodesIdle", data.idle_ ? costsJson(summary.idleCosts_) : Json() },
+        { "loadAverage", data.loadAverage_ }, { "sendDelayMs", percentilesJson(summary.sendDelay_) },
+        { "kinds", kindsJson(plan, summary.kinds_) }, { "surgeKinds", kindsJson(plan, summary.surgeKinds_) },
+        { "attemptEnds", reasons }, { "phases", phasesJson(summary) },
+        { "recovery", recoveryJson(plan, summary.recovery_) }, { "work", workJson(summary.totalWork_) },
+        { "surgeWork", workJson(summary.surgeWork_) }, { "slotUse", slotsJson(summary) },
+        { "bottleneck", summary.bottleneck_ }, { "attempts", attemptsJson(summary.attempts_) },
+        { "audit", findingsJson(data, summary.findings_) }, { "pairs", pairsJson(data) },
+        { "nodesIdle", data.idle_ ? costsJson(summary.idleCosts_) : Json() },
         { "nodesUnderLoad", costsJson(summary.loadCosts_) }, { "meshCores", summary.meshCores_ },
         { "storeCallsPerSecond", summary.storeCallsPerSecond_ },
         { "regionBytesPerSecond", summary.regionBytesPerSecond_ } };
--- a/src/libload/report_text.cpp
+++ b/src/libload/report_text.cpp
@@ -54,6 +54,17 @@
     return text;
 }
 
+auto delayLine(const Summary& summary) -> std::string
+{
+    constexpr auto tolerated = milliseconds(50);
+    const auto p99 = summary.sendDelay_.percentile(0.99);
+    return line("first attempts left p50 %.1f, p99 %.1f, max %.1f ms after their intended start%s\n",
+        toMilliseconds(summary.sendDelay_.percentile(0.5)), toMilliseconds(p99),
+        toMilliseconds(summary.sendDelay_.max()),
+        p99 > tolerated ? "; WARNING: the load tool was short of CPU, so latencies are not those of the mesh"
+                        : "");
+}
+
 auto phaseTable(const Summary& summary) -> std::string
 {
     std::string text = line("\n%-16s %8s %14s %14s\n", "phase", "seconds", "offered per s", "goodput per s");
@@ -189,7 +200,7 @@
     if (surgeIndex(plan) >= 0) {
         text += "\nof the requests that arrived in the surge:\n" + outcomeTable(plan, summary.surgeKinds_);
     }
-    text += phaseTable(summary) + recoveryLine(plan, summary) + slotLines(plan, summary);
+    text += delayLine(summary) + phaseTable(summary) + recoveryLine(plan, summary) + slotLines(plan, summary);
     text += workLines(plan, summary) + findingLines(data, summary) + pairTable(data)
         + costLines(data, summary);
     return text;
--- a/src/libload/run.cpp
+++ b/src/libload/run.cpp
@@ -4,6 +4,8 @@
 #include "sender.h"
 
 #include <algorithm>
+#include <atomic>
+#include <memory>
 #include <thread>
 
 namespace wagtailhead::load {
@@ -19,7 +21,11 @@
 /// The load begins this long after it has been announced.
 constexpr auto leadTime = milliseconds(100);
 
-constexpr auto progressInterval = seconds(1);
+constexpr auto progressInterval = milliseconds(500);
+
+/// Each sender uses a few seeds in a row.
+constexpr std::uint64_t seedDistance = 100;
+constexpr std::uint64_t pairSeedDistance = 50;
 
 auto progressLine(const SenderProgress& progress, Duration elapsed, Duration total) -> std::string
 {
@@ -30,17 +36,84 @@
         + std::to_string(progress.inFlight_) + " attempts in flight";
 }
 
-/// The sending part of a run, with its own end.
+/// A thread with a context and a client of its own, for one part of the load.
+class Worker {
+public:
+    Worker()
+    {
+        HttpClientOptions options;
+        options.maxConnectionsPerHost_ = connectionsPerHost;
+        client_ = HttpClient::create(context_, options);
+    }
+
+    /// Starts the part and runs the context until it says that it is done.
+    template <typename Part> auto start(Part& part, TimePoint begin) -> void
+    {
+        thread_ = std::thread([this, &part, begin] {
+            bool done = false;
+            part.start(begin, [&done] {
+                done = true;
+            });
+            while (!done && context_.run_one() > 0) { }
+            finished_ = true;
+        });
+    }
+
+    auto join() -> void
+    {
+        thread_.join();
+    }
+
+    auto isFinished() const -> bool
+    {
+        return finished_;
+    }
+
+    auto context() -> asio::io_context&
+    {
+        return context_;
+    }
+
+    auto client() -> HttpClient&
+    {
+        return *client_;
+    }
+
+private:
+    asio::io_context context_ { 1 };
+    std::unique_ptr<HttpClient> client_;
+    std::thread thread_;
+    std::atomic<bool> finished_ = false;
+};
+
+/// The part of one sender. Shares of a Poisson process add up to the whole.
+auto shareOf(const RunOptions& options, int index) -> SenderOptions
+{
+    SenderOptions share { options.plan_, options.mesh_.nodes_, options.runId_ + "-" + std::to_string(index),
+        options.seed_ + static_cast<std::uint64_t>(index) * seedDistance };
+    for (auto& phase : share.plan_.phases_) {
+        phase.perSecond_ /= options.senders_;
+    }
+    share.maxInFlight_ /= static_cast<std::size_t>(options.senders_);
+    return share;
+}
+
+/// The sending part of a run.
 class LoadRunner {
 public:
-    LoadRunner(asio::io_context& context, HttpClient& client, const RunOptions& options)
-        : context_(context)
-        , options_(options)
-        , senderOptions_ { options.plan_, options.mesh_.nodes_, options.runId_, options.seed_ }
-        , sender_(context, client, senderOptions_)
-        , pairs_(context, client, options.plan_, options.mesh_, options.runId_, options.seed_ + 3)
-        , ticker_(context)
+    explicit LoadRunner(const RunOptions& options)
+        : options_(options)
+        , pairs_(pairWorker_.context(), pairWorker_.client(), options.plan_, options.mesh_, options.runId_,
+              options.seed_ + pairSeedDistance)
+        , workers_(static_cast<std::size_t>(options.senders_))
     {
+        for (int i = 0; i < options.senders_; ++i) {
+            shares_.push_back(shareOf(options, i));
+        }
+        for (std::size_t i = 0; i < workers_.size(); ++i) {
+            senders_.push_back(
+                std::make_unique<Sender>(workers_[i].context(), workers_[i].client(), shares_[i]));
+        }
     }
 
     auto run(RunData& data) -> void
@@ -50,19 +123,17 @@
         if (options_.onBegin_) {
             options_.onBegin_(data.clocks_.wallOf(data.begin_));
         }
-        const auto done = [this] {
-            if (--open_ == 0) {
-                ticker_.cancel();
-            }
-        };
-        context_.restart();
-        sender_.start(data.begin_, done);
-        pairs_.start(data.begin_, done);
-        tick(data.begin_);
-        while (open_ > 0 && context_.run_one() > 0) { }
+        for (std::size_t i = 0; i < workers_.size(); ++i) {
+            workers_[i].start(*senders_[i], data.begin_);
+        }
+        pairWorker_.start(pairs_, data.begin_);
+        showProgress(data.begin_);
+        for (auto& worker : workers_) {
+            worker.join();
+        }
+        pairWorker_.join();
         data.loadAverage_ = loadAverage();
-        data.records_ = sender_.records();
-        data.pairs_ = pairs_.results();
+        collect(data);
     }
 
     auto roots() const -> const std::unordered_set<std::uint64_t>&
@@ -71,27 +142,42 @@
     }
 
 private:
-    auto tick(TimePoint begin) -> void
+    auto showProgress(TimePoint begin) const -> void
     {
-        ticker_.expires_after(progressInterval);
-        ticker_.async_wait([this, begin](const std::error_code& error) {
-            if (!error && open_ > 0) {
-                if (options_.onProgress_) {
-                    options_.onProgress_(progressLine(
-                        sender_.progress(), Clock::now() - begin, totalLength(options_.plan_.phases_)));
-                }
-                tick(begin);
+        const auto isFinished = [](const Worker& worker) {
+            return worker.isFinished();
+        };
+        while (!std::all_of(workers_.begin(), workers_.end(), isFinished) || !pairWorker_.isFinished()) {
+            std::this_thread::sleep_for(progressInterval);
+            SenderProgress progress;
+            for (const auto& sender : senders_) {
+                progress += sender->progress();
             }
+            if (options_.onProgress_) {
+                options_.onProgress_(
+                    progressLine(progress, Clock::now() - begin, totalLength(options_.plan_.phases_)));
+            }
+        }
+    }
+
+    auto collect(RunData& data) const -> void
+    {
+        for (const auto& sender : senders_) {
+            const auto& records = sender->records();
+            data.records_.insert(data.records_.end(), records.begin(), records.end());
+        }
+        std::sort(data.records_.begin(), data.records_.end(), [](const auto& left, const auto& right) {
+            return left.intended_ < right.intended_;
         });
+        data.pairs_ = pairs_.results();
     }
 
-    asio::io_context& context_;
     const RunOptions& options_;
-    const SenderOptions senderOptions_;
-    Sender sender_;
+    Worker pairWorker_;
     PairRunner pairs_;
-    asio::steady_timer ticker_;
-    int open_ = 2;
+    std::vector<Worker> workers_;
+    std::vector<SenderOptions> shares_;
+    std::vector<std::unique_ptr<Sender>> senders_;
 };
 
 } // namespace
@@ -99,9 +185,7 @@
 auto runLoad(const RunOptions& options) -> RunData
 {
     asio::io_context context(1);
-    HttpClientOptions clientOptions;
-    clientOptions.maxConnectionsPerHost_ = connectionsPerHost;
-    const auto client = HttpClient::create(context, clientOptions);
+    const auto client = HttpClient::create(context, {});
     MeshProbe probe(context, *client, options.mesh_);
     RunData data;
     data.deployment_ = options.deployment_;
@@ -111,7 +195,7 @@
         std::this_thread::sleep_for(options.plan_.idle_);
     }
     data.before_ = probe.snapshot();
-    LoadRunner runner(context, *client, options);
+    LoadRunner runner(options);
     runner.run(data);
     data.after_ = probe.snapshot();
     std::this_thread::sleep_for(settleTime);
--- a/src/libload/run.h
+++ b/src/libload/run.h
@@ -14,6 +14,7 @@
     MeshProcesses mesh_;
     std::string runId_;
     std::uint64_t seed_ = 1;
+    int senders_ = 4; ///< Threads that share the load; each is a Poisson process of its own.
     /// Called at the begin of the first phase.
     std::function<void(milliseconds unixTime)> onBegin_;
     /// Called about once a second while the load runs, with a line for a terminal.
--- a/src/libload/sender.cpp
+++ b/src/libload/sender.cpp
@@ -43,6 +43,15 @@
 
 } // namespace
 
+auto SenderProgress::operator+=(const SenderProgress& other) -> SenderProgress&
+{
+    begun_ += other.begun_;
+    ended_ += other.ended_;
+    good_ += other.good_;
+    inFlight_ += other.inFlight_;
+    return *this;
+}
+
 Sender::Sender(asio::io_context& context, HttpClient& client, const SenderOptions& options)
     : context_(context)
     , client_(client)
@@ -91,7 +100,7 @@
         = makeRequest(options_.plan_.kinds_[kind], options_.nodes_[open->node_].region_, records_.size());
     records_.push_back({ static_cast<std::uint32_t>(kind), intended,
         findHeader(open->request_.headers_, "Idempotency-Key").value_or(""), {}, true });
-    ++progress_.begun_;
+    ++begun_;
     send(open);
 }
 
@@ -123,12 +132,12 @@
     AttemptRecord attempt;
     attempt.sent_ = attempt.ended_ = Clock::now();
     attempts.push_back(attempt);
-    if (progress_.inFlight_ >= options_.maxInFlight_) {
+    if (inFlight_ >= options_.maxInFlight_) {
         attempts.back().reason_ = "sender-full";
         end(open);
         return;
     }
-    ++progress_.inFlight_;
+    ++inFlight_;
     client_.send(options_.nodes_[open->node_].http_, open->request_, options_.plan_.callers_.timeout_,
         [this, open](const HttpResult& result) {
             finished(open, result);
@@ -137,7 +146,7 @@
 
 auto Sender::finished(const OpenPtr& open, const HttpResult& result) -> void
 {
-    --progress_.inFlight_;
+    --inFlight_;
     auto& record = records_[open->index_];
     auto& attempt = record.attempts_.back();
     const auto sent = attempt.sent_;
@@ -172,21 +181,21 @@
 
 auto Sender::end(const OpenPtr& open) -> void
 {
-    ++progress_.ended_;
-    progress_.good_ += records_[open->index_].isGood() ? 1 : 0;
+    ++ended_;
+    good_ += records_[open->index_].isGood() ? 1 : 0;
     endIfIdle();
 }
 
 auto Sender::endIfIdle() -> void
 {
-    if (allArrived_ && progress_.ended_ == progress_.begun_ && onDone_) {
+    if (allArrived_ && ended_ == begun_ && onDone_) {
         std::exchange(onDone_, nullptr)();
     }
 }
 
 auto Sender::progress() const -> SenderProgress
 {
-    return progress_;
+    return { begun_, ended_, good_, inFlight_ };
 }
 
 auto Sender::records() const -> const Records&
--- a/src/libload/sender.h
+++ b/src/libload/sender.h
@@ -9,6 +9,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <random>
@@ -30,6 +31,8 @@
     std::size_t ended_ = 0;
     std::size_t good_ = 0;
     std::size_t inFlight_ = 0;
+
+    auto operator+=(const SenderProgress& other) -> SenderProgress&;
 };
 
 /// Sends the load of a plan. Runs in the one thread of its context. The context, the client and the
@@ -41,6 +44,7 @@
     /// Begins at `begin`, which may lie ahead. `onDone` runs once every request has ended.
     auto start(TimePoint begin, std::function<void()> onDone) -> void;
 
+    /// Thread safe.
     auto progress() const -> SenderProgress;
 
     /// Returns all requests in the order of their arrival.
@@ -75,7 +79,10 @@
     TimePoint begin_;
     std::function<void()> onDone_;
     Records records_;
-    SenderProgress progress_;
+    std::atomic<std::size_t> begun_ = 0;
+    std::atomic<std::size_t> ended_ = 0;
+    std::atomic<std::size_t> good_ = 0;
+    std::atomic<std::size_t> inFlight_ = 0;
     bool allArrived_ = false;
 };
 
--- a/src/libload/summary.cpp
+++ b/src/libload/summary.cpp
@@ -173,6 +173,11 @@
     summary.kinds_ = countKinds(plan, data.records_, data.begin_, TimePoint::max());
     summary.surgeKinds_ = countKinds(plan, data.records_, data.begin_ + surgeBegin, data.begin_ + surgeEnd);
     summary.reasons_ = countReasons(data.records_);
+    for (const auto& record : data.records_) {
+        if (!record.attempts_.empty()) {
+            summary.sendDelay_.add(record.attempts_.front().sent_ - record.intended_);
+        }
+    }
     summary.phases_ = summarizePhases(plan, data);
     summary.findings_ = checkAudits(plan.kinds_, data.records_, data.executions_, data.clocks_);
     const Span all { milliseconds(0), data.clocks_.wallOf(data.after_.at_) };
--- a/src/libload/summary.h
+++ b/src/libload/summary.h
@@ -75,6 +75,9 @@
     std::vector<KindOutcomes> kinds_; ///< In the order of the plan's kinds.
     std::vector<KindOutcomes> surgeKinds_; ///< Of the requests that arrived in the surge.
     std::vector<std::pair<std::string, std::size_t>> reasons_; ///< "end reason" of attempts, most first.
+    /// How long after its intended start the first attempt of a request left. A long delay means that the
+    /// load tool itself was short of CPU, and that the latencies are not those of the mesh.
+    LogHistogram sendDelay_;
     std::vector<PhaseSummary> phases_;
     AuditFindings findings_;
     std::map<std::string, Work> work_; ///< By service, of the whole run.
--- a/src/wagtailhead-load/main.cpp
+++ b/src/wagtailhead-load/main.cpp
@@ -36,6 +36,7 @@
   --capacity=N            Requests per second that are 100 % load of a scenario, 1 to 20000
                           [the scenario's own if not set].
   --seed=N                Seed of all random choices [1 if not set].
+  --senders=N             Threads that share the load, 1 to 16 [4 if not set].
 
 Caller options:           (over those of the scenario)
   --attempts=N            Most sends of one request, 1 to 20.
@@ -58,6 +59,7 @@
 constexpr std::int64_t maxPerSecond = 20'000;
 constexpr std::int64_t maxSeconds = 300;
 constexpr std::int64_t maxAttempts = 20;
+constexpr std::int64_t maxSenders = 16;
 constexpr auto maxTime = milliseconds(60'000);
 
 auto readText(const std::string& name, const char* setting) -> std::string
@@ -150,6 +152,7 @@
     options.plan_ = readPlan(settings, options.deployment_);
     options.mesh_ = require(program, parseMeshStatus(readText(settings.text("mesh", "-"), "mesh")));
     options.seed_ = static_cast<std::uint64_t>(require(program, settings.integer("seed", 1, 0, INT32_MAX)));
+    options.senders_ = static_cast<int>(integer(settings, "senders", options.senders_, maxSenders));
     options.runId_ = newRunId();
     options.onBegin_ = [](milliseconds unixTime) {
         std::cout << "load begins at " << unixTime.count()
