--- a/src/libnode/call_executor.cpp
+++ b/src/libnode/call_executor.cpp
@@ -11,7 +11,10 @@
 namespace {
 
 constexpr Duration tickInterval = milliseconds(20);
+/// Without calls only the shedding level has to decay.
+constexpr Duration idleTickInterval = milliseconds(100);
 constexpr int statusServerError = 500;
+constexpr int statusGatewayTimeout = 504;
 /// The backend server watches the deadline itself; its own answer is better than a cut connection.
 constexpr Duration backendGrace = milliseconds(50);
 
@@ -38,6 +41,10 @@
 auto answerOf(HttpResult result) -> Answer
 {
     if (auto* response = std::get_if<HttpResponse>(&result)) {
+        if (response->status_ == statusGatewayTimeout) {
+            // The backend server gave up at the deadline; how far it came is not known.
+            return unknownOutcome("deadline");
+        }
         return { Outcome::Completed, response->status_, "ok", removeHopHeaders(std::move(response->headers_)),
             std::move(response->body_) };
     }
@@ -92,7 +99,7 @@
 auto CallExecutor::tick() -> void
 {
     apply(admission_.tick(Clock::now()));
-    ticker_.expires_after(tickInterval);
+    ticker_.expires_after(inFlight() == 0 ? idleTickInterval : tickInterval);
     ticker_.async_wait([this](const asio::error_code& error) {
         if (!error) {
             tick();
--- a/src/libnode/ledger_service.cpp
+++ b/src/libnode/ledger_service.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration tickInterval = milliseconds(50);
+/// Without waiters and takeovers only the need for a takeover has to be noticed.
+constexpr Duration idleTickInterval = milliseconds(200);
 /// No execution outlives the longest deadline by much; what is older was given up without a report.
 constexpr Duration executionLife = 2 * longestDeadline;
 constexpr Duration forgetInterval = seconds(5);
@@ -81,7 +83,7 @@
         apply(ledger_.tick({ members, *self, ownShardNames(), {} }, now));
     }
     forgetOldExecutions(now);
-    timer_.expires_after(tickInterval);
+    timer_.expires_after(isIdle() ? idleTickInterval : tickInterval);
     timer_.async_wait([this](const asio::error_code& error) {
         if (!error) {
             tick();
@@ -89,6 +91,12 @@
     });
 }
 
+auto LedgerService::isIdle() const -> bool
+{
+    const std::lock_guard lock(mutex_);
+    return waiters_.empty() && ledger_.takeoversInFlight() == 0;
+}
+
 auto LedgerService::ownShardNames() const -> std::vector<std::string>
 {
     const auto config = parts_.config_.current();
--- a/src/libnode/ledger_service.h
+++ b/src/libnode/ledger_service.h
@@ -89,6 +89,7 @@
     auto eventsOf(const KeyRef& key) -> std::optional<Events>;
     auto forgetOldExecutions(TimePoint now) -> void;
     auto tick() -> void;
+    auto isIdle() const -> bool;
     auto ownShardNames() const -> std::vector<std::string>;
 
     LedgerServiceParts parts_;
