fix(call): router keeps newer members when a thread uses an older list

Two threads may hold member lists of different age; the older one made the router forget the state of the newest members, and could replace an incarnation by its predecessor.

--- a/src/libcall/adaptive_router.cpp
+++ b/src/libcall/adaptive_router.cpp
@@ -167,7 +167,8 @@
     /// Forgets vanished members and takes this node's part of the link budget, once for each version.
     auto followMembers(const MemberList& members, TimePoint now) -> void
     {
-        if (membersVersion_ == members.version_) {
+        // Another thread may still hold an older list, which would forget the newest members.
+        if (membersVersion_ && members.version_ <= *membersVersion_) {
             return;
         }
         membersVersion_ = members.version_;
@@ -191,6 +192,9 @@
                 continue;
             }
             auto& entry = targets_[member->ref_.id_];
+            if (entry.target_.ref().incarnation_ > member->ref_.incarnation_) {
+                continue;
+            }
             if (entry.target_.ref() != member->ref_) {
                 entry = { RouteTarget(member->ref_), member->service_ };
             }
--- a/src/libcall/routing_test.cpp
+++ b/src/libcall/routing_test.cpp
@@ -279,6 +279,24 @@
     }
 }
 
+/// Guards against state lost, and dead members chosen, when threads use lists of different age.
+Test(routing, older_member_list_does_not_replace_newer_knowledge)
+{
+    Fleet fleet;
+    fleet.add("a", "a1");
+    const auto older = fleet.table_.replace(fleet.members_);
+    fleet.add("b", "a1");
+    fleet.members_["a"].ref_.incarnation_ = 2;
+    fleet.choose();
+    const auto route = fleet.router_->choose(*older, fleet.request_, fleet.now_, wall);
+    cr_assert(std::holds_alternative<RouteFailure>(route), "an old incarnation is chosen");
+    int outstanding = 0;
+    for (const auto& target : fleet.router_->targets(fleet.now_)) {
+        outstanding += target.outstanding_;
+    }
+    cr_assert_eq(outstanding, 1);
+}
+
 /// Guards against a naive reference that avoids bad members.
 Test(routing, naive_version_takes_turns_over_all_members)
 {
