style: lint findings of the transport and the entry

Cause: clang-tidy reported a use after move that could not happen at run time, a growing vector and a move without effect.

--- a/src/libnet/peer_transport.cpp
+++ b/src/libnet/peer_transport.cpp
@@ -30,7 +30,7 @@
     NodeRef peer_;
     PeerChannel channel_ = PeerChannel::Normal;
 
-    auto operator<=>(const SlotKey&) const = default;
+    auto operator<=>(const SlotKey&) const = default; // NOLINT(modernize-use-nullptr): false finding
 };
 
 /// The outgoing connection to one peer on one channel, with the requests that wait for it.
@@ -228,11 +228,10 @@
         } else {
             slot.waiting_.emplace_back(id, std::move(message));
             dial({ peer.ref_, channel }, slot);
+            return id;
         }
     }
-    if (connection) {
-        sendNow(connection, id, message);
-    }
+    sendNow(connection, id, message);
     return id;
 }
 
--- a/src/libnet/pending_requests.h
+++ b/src/libnet/pending_requests.h
@@ -64,6 +64,7 @@
             }
         }
         std::vector<PendingRequest> taken;
+        taken.reserve(ids.size());
         for (const auto id : ids) {
             taken.push_back(*take(id));
         }
--- a/src/libnode/call_entry.cpp
+++ b/src/libnode/call_entry.cpp
@@ -63,7 +63,7 @@
 };
 
 CallEntry::CallEntry(CallEntryParts parts, std::uint64_t seed)
-    : parts_(std::move(parts))
+    : parts_(parts)
     , random_(seed)
 {
 }
