--- a/src/build-scripts/mesh_plan.py
+++ b/src/build-scripts/mesh_plan.py
@@ -172,8 +172,8 @@
         seeds = self._seeds_of(vm)
         command += [f"--peers={','.join(seeds)}"] if seeds else []
         if self.options.links:
-            command += [f"--zone-translate={zone}={self._prefix(vm.zone, zone)}0/24"
-                        for zone in self.zones if zone != vm.zone]
+            entries = [f"{zone}={self._prefix(vm.zone, zone)}0/24" for zone in self.zones if zone != vm.zone]
+            command += ["--zone-translate=" + ",".join(entries)]
         return command
 
 
--- a/testsuite/mesh/run.py
+++ b/testsuite/mesh/run.py
@@ -107,7 +107,10 @@
         self.up("--deployment", "lindqvist", "--nodes-per-service", "1", "--links")
         node = next(row for row in self.status() if row["role"] == "node" and row["zone"] == "tampere-a")
         settings = request(node["http"], "GET", "/-/dump")[1]["settings"]
-        self.assertEqual(len(settings["zone-translate"]), 3)
+        # One flag with a list: the node's command line takes it once.
+        self.assertEqual(len(settings["zone-translate"]), 1)
+        translated = [entry.split("=")[0] for entry in settings["zone-translate"][0].split(",")]
+        self.assertEqual(translated, ["vantaa-a", "espoo-b", "nokia-b"])
         self.assertEqual(request(settings["store"][0], "GET", "/v1/objects/config/links")[0], 200)
         pairs = request(self.process("link")["http"], "GET", "/-/pairs")[1]["pairs"]
         by_name = {(row["from"], row["to"]): row for row in pairs}
