fix(net): send a last answer whole when a refused request follows it

RESTinio cancels all operations of the socket before it writes an answer with Connection: close, which also ended the read that watches a refused caller and closed the socket under the answer. The refusal itself is no longer sent behind such an answer.

--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -280,9 +280,9 @@
         return countDescriptors() == before;
     }));
 
-    std::vector<int> others;
-    for (int i = 0; i < 30; ++i) {
-        others.push_back(::open("/dev/null", O_RDONLY | O_CLOEXEC)); // Takes over the freed numbers.
+    std::vector<int> others(30);
+    for (auto& other : others) {
+        other = ::open("/dev/null", O_RDONLY | O_CLOEXEC); // Takes over the freed numbers.
     }
     client.reset();
     running.reset();
--- a/src/libnet/http_connection.cpp
+++ b/src/libnet/http_connection.cpp
@@ -89,7 +89,7 @@
     running_.push_back(std::move(watch));
 }
 
-auto HttpConnection::answerWritten(bool written) -> void
+auto HttpConnection::answerWritten(bool goesOn) -> void
 {
     writingSince_ = {};
     idleSince_ = Clock::now();
@@ -97,7 +97,7 @@
     if (!running_.empty()) {
         running_.erase(running_.begin());
     }
-    if (written) {
+    if (goesOn) {
         refuseAfterAnswers();
     }
 }
@@ -198,7 +198,10 @@
     socket_.async_read_some(
         asio::buffer(drainBuffer_), [self = shared_from_this()](asio::error_code error, std::size_t length) {
             self->drained_ += length;
-            if (error) {
+            // The server library cancels all operations before it writes a last answer.
+            const auto goesOn
+                = !error || (error == asio::error::operation_aborted && self->socket_.is_open());
+            if (!goesOn) {
                 self->closeNow();
             } else if (self->drained_ <= maxDrainedBytes) {
                 self->drainNext();
--- a/src/libnet/http_connection.h
+++ b/src/libnet/http_connection.h
@@ -84,8 +84,9 @@
     /// Registers a request that was handed to the handler.
     auto requestStarted(std::shared_ptr<CallerWatch> watch) -> void;
 
-    /// Reports that the answer to the oldest request was written, or could not be.
-    auto answerWritten(bool written) -> void;
+    /// Reports that the answer to the oldest request was written or could not be, and whether the
+    /// connection goes on.
+    auto answerWritten(bool goesOn) -> void;
 
     /// Closes the connection. Bytes that the caller is still sending are drained for a while first, since
     /// closing a socket with unread input resets the connection and can destroy an answer under way.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -130,8 +130,9 @@
                 builder.append_header(std::move(name), std::move(value));
             }
         }
-        builder.done([connection = std::move(connection_)](const asio::error_code& error) {
-            connection->answerWritten(!error);
+        const auto keepAlive = builder.header().should_keep_alive();
+        builder.done([connection = std::move(connection_), keepAlive](const asio::error_code& error) {
+            connection->answerWritten(!error && keepAlive);
         });
     }
 
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -278,7 +278,7 @@
         });
     });
     RawConnection caller(server->address());
-    cr_assert(caller.send(post("x") + "GET /p HTTP/1.1\r\nConnection: close\r\n\r\n"));
+    cr_assert(caller.send(post("x") + "GET /p HTTP/1.1\r\nConnection: close\r\n\r\nBAD\r\n\r\n"));
     const auto response = caller.receive();
     cr_assert_eq(response.status_, 200);
     cr_assert_eq(response.body_, "first");
@@ -344,19 +344,26 @@
     cr_assert_eq(caller.receive().status_, 413);
 }
 
-/// Guards against large answers cut short, also when the connection is closed behind them.
+/// Guards against large answers cut short, also when the connection is closed behind them and when the
+/// caller sends something that is refused meanwhile.
 Test(http_server, large_answers_are_sent_whole)
 {
     RunningContext running;
     const std::string large(std::size_t { 32 } << 20, 'L');
-    const auto server = openServer(running, {}, [&](HttpRequest, auto responder) {
-        responder->respond({ 200, {}, large });
+    std::promise<std::shared_ptr<HttpResponder>> late;
+    const auto server = openServer(running, {}, [&](HttpRequest request, auto responder) {
+        if (request.target_ == "/late") {
+            late.set_value(responder);
+        } else {
+            responder->respond({ 200, {}, large });
+        }
     });
     RawConnection caller(server->address());
-    for (const auto* connection : { "keep-alive", "close" }) {
-        cr_assert(caller.send("GET /p HTTP/1.1\r\nConnection: " + std::string(connection) + "\r\n\r\n"));
-        cr_assert(caller.receive().body_ == large);
-    }
+    cr_assert(caller.send("GET /p HTTP/1.1\r\n\r\n"));
+    cr_assert(caller.receive().body_ == large);
+    cr_assert(caller.send("GET /late HTTP/1.1\r\nConnection: close\r\n\r\nBAD\r\n\r\n"));
+    late.get_future().get()->respond({ 200, {}, large });
+    cr_assert(caller.receive().body_ == large);
     cr_assert(caller.endsCleanly());
 }
 
--- a/src/libnet/http_test_support.h
+++ b/src/libnet/http_test_support.h
@@ -3,6 +3,7 @@
 
 #include "wagtailhead/http.h"
 
+#include <array>
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
