--- a/src/include/wagtailhead/membership.h
+++ b/src/include/wagtailhead/membership.h
@@ -47,24 +47,34 @@
     /// Members that are told at once when this node learns something urgent.
     int pushFanout_ = 4;
     /// Average and burst of bytes that urgent pushes may use; beyond it events travel with probes.
-    std::size_t pushBytesPerSecond_ = 6 * 1024;
-    std::size_t pushBurstBytes_ = 24 * 1024;
+    std::size_t pushBytesPerSecond_ = 4 * 1024;
+    std::size_t pushBurstBytes_ = 16 * 1024;
     /// Bytes of a message that probes, pushes and their replies fill with events.
     std::size_t messageBudgetBytes_ = 1200;
     /// Items up to this size travel in events; of larger ones only the generation, and the receiver
     /// asks for the value. A value then crosses the network about once for each node.
     std::size_t eagerItemBytes_ = 96;
-    /// Bytes that one message of anti-entropy or a requested value may fill (at least one record).
+    /// Bytes that a message of requested values or of anti-entropy for a joining node may fill (at least
+    /// one record).
     std::size_t bulkBudgetBytes_ = std::size_t { 256 } * 1024;
+    /// Bytes that a message of anti-entropy between nodes that have joined may fill, and the time between
+    /// the steps when that is not enough. After a partition all nodes exchange their tables, about every
+    /// second second each; 16 KB then stay within the budget of 28 KB/s for a node.
+    std::size_t repairBudgetBytes_ = std::size_t { 16 } * 1024;
+    Duration repairInterval_ = seconds(1);
     /// An event is sent this factor times log2(members) times by each node.
     int retransmitFactor_ = 3;
     Duration syncInterval_ = seconds(30);
     Duration syncTimeout_ = seconds(5);
     /// Dead members are forgotten after this time.
     Duration tombstoneLife_ = std::chrono::hours(1);
-    /// Addresses of vanished members are dialled this often (one address each time) ...
+    /// Addresses of vanished members are dialled this often (one address each time), in large groups so
+    /// much less that all members together make about `groupDialsPerSecond_`; more would load the smaller
+    /// side of a healed partition with the exchange of its table.
     Duration dialInterval_ = seconds(5);
-    /// ... and for this long, so that a partition that outlasts the tombstones still heals.
+    int groupDialsPerSecond_ = 25;
+    /// Vanished addresses are remembered this long, so that a partition that outlasts the tombstones
+    /// still heals.
     Duration dialLife_ = std::chrono::hours(24);
     /// Interval of the attempts to join while no other member is known.
     Duration joinInterval_ = seconds(1);
--- a/src/include/wagtailhead/presence.h
+++ b/src/include/wagtailhead/presence.h
@@ -27,7 +27,8 @@
     MembershipOptions membership_;
     /// Drives the random choices of the protocol.
     std::uint64_t seed_ = 0;
-    /// The membership table is replaced at most this often, because each time copies all members.
+    /// The membership table is replaced at most this often, because each time copies all members. Large
+    /// groups that change all the time get longer pauses, so that this takes 1% of a core at most.
     Duration publishInterval_ = milliseconds(100);
 };
 
--- a/src/libpresence/gossip_dialers.cpp
+++ b/src/libpresence/gossip_dialers.cpp
@@ -86,32 +86,21 @@
     GossipTransport::Callback callback) -> void
 {
     const auto bytes = encodeGossip(message);
-    std::shared_ptr<Request> request;
-    {
-        const std::lock_guard lock(mutex_);
-        auto dialer = closed_ ? nullptr : dialerFor(to);
-        if (dialer) {
-            request = std::make_shared<Request>(*this, std::move(dialer));
-            request->id_ = nextId_++;
-            request->deadline_ = Clock::now() + timeout;
-            request->callback_ = std::move(callback);
-            requests_.emplace(request->id_, request);
-        }
+    const auto request = admit(to, timeout, callback);
+    if (!request) {
+        ++counters_->requestsFailed_;
+        asio::post(context_, [callback = std::move(callback)] {
+            callback(std::nullopt);
+        });
+        return;
     }
     auto body = makeNngMessage(bytes);
-    if (!request || !request->context_.isOpen() || !body) {
-        if (request) {
-            asio::post(context_, [weak = weak_from_this(), id = request->id_] {
-                if (const auto self = weak.lock()) {
-                    self->finish(id, false);
-                }
-            });
-        } else {
-            ++counters_->requestsFailed_;
-            asio::post(context_, [callback = std::move(callback)] {
-                callback(std::nullopt);
-            });
-        }
+    if (!request->context_.isOpen() || !body) {
+        asio::post(context_, [weak = weak_from_this(), id = request->id_] {
+            if (const auto self = weak.lock()) {
+                self->finish(id, false);
+            }
+        });
         return;
     }
     ++counters_->requestsSent_;
@@ -121,6 +110,23 @@
     nng_ctx_send(request->context_.get(), request->aio_.get());
 }
 
+/// Returns a request on a connection, entered in the table, or null if there can be none.
+auto GossipDialers::admit(const Address& to, Duration timeout, const GossipTransport::Callback& callback)
+    -> std::shared_ptr<Request>
+{
+    const std::lock_guard lock(mutex_);
+    auto dialer = closed_ ? nullptr : dialerFor(to);
+    if (!dialer) {
+        return nullptr;
+    }
+    auto request = std::make_shared<Request>(*this, std::move(dialer));
+    request->id_ = nextId_++;
+    request->deadline_ = Clock::now() + timeout;
+    request->callback_ = callback;
+    requests_.emplace(request->id_, request);
+    return request;
+}
+
 /// Returns a usable connection, opening one if needed. The lock is held.
 auto GossipDialers::dialerFor(const Address& to) -> std::shared_ptr<Dialer>
 {
--- a/src/libpresence/gossip_dialers.h
+++ b/src/libpresence/gossip_dialers.h
@@ -50,6 +50,8 @@
 
     struct Request;
 
+    auto admit(const Address& to, Duration timeout, const GossipTransport::Callback& callback)
+        -> std::shared_ptr<Request>;
     auto dialerFor(const Address& to) -> std::shared_ptr<Dialer>;
     auto closeIdle(TimePoint now) -> std::vector<std::shared_ptr<Dialer>>;
     auto scheduleCleanup() -> void;
--- a/src/libpresence/membership_core.cpp
+++ b/src/libpresence/membership_core.cpp
@@ -60,6 +60,7 @@
     runDial(now);
     runProbes(now);
     runSync(now);
+    runNextStep(now);
     pushIfUrgent(now);
 }
 
@@ -69,6 +70,9 @@
         return TimePoint::max();
     }
     auto wake = std::min({ nextProbe_, nextSync_, nextDial_, members_.nextTimer() });
+    if (nextStep_) {
+        wake = std::min(wake, nextStep_->at_);
+    }
     if (urgent_) {
         const auto deficit = std::max(0.0, -pushTokens_) / static_cast<double>(options_.pushBytesPerSecond_);
         wake = std::min(wake,
@@ -101,7 +105,8 @@
     answerWants(message, answer);
     if (message.kind_ == GossipKind::SyncDigest) {
         describeBuckets(message, answer);
-    } else {
+    } else if (message.kind_ != GossipKind::Push) {
+        // Pushes are counted in bytes at their sender; replies that carry events would double the cost.
         fillEvents(answer);
     }
     reply(token, std::move(answer));
@@ -140,7 +145,7 @@
         break;
     case Purpose::SyncDelta:
         if (message.more_ || pending.more_) {
-            startSync(now, pending.to_, pending.target_, pending.reference_ + 1);
+            continueSync(now, pending.to_, pending.target_, pending.reference_ + 1);
         }
         break;
     case Purpose::Recheck:
--- a/src/libpresence/membership_core.h
+++ b/src/libpresence/membership_core.h
@@ -77,6 +77,14 @@
         bool indirect_ = false;
     };
 
+    /// The next step of an anti-entropy that did not fit into one exchange.
+    struct NextStep {
+        SeedAddress to_;
+        NodeRef target_;
+        std::uint64_t step_ = 0;
+        TimePoint at_;
+    };
+
     struct Want {
         std::uint64_t generation_ = 0;
         TimePoint expires_;
@@ -133,7 +141,9 @@
     auto runSync(TimePoint now) -> void;
     auto runDial(TimePoint now) -> void;
     auto startSync(TimePoint now, SeedAddress to, NodeRef target, std::uint64_t step) -> void;
-    auto describeBuckets(const GossipMessage& request, GossipMessage& answer) const -> void;
+    auto continueSync(TimePoint now, SeedAddress to, NodeRef target, std::uint64_t step) -> void;
+    auto runNextStep(TimePoint now) -> void;
+    auto describeBuckets(const GossipMessage& request, GossipMessage& answer) -> void;
     auto compareSummaries(TimePoint now, const Pending& pending, const GossipMessage& message) -> void;
 
     std::mt19937_64 random_;
@@ -150,6 +160,7 @@
     TimePoint nextSync_;
     TimePoint nextDial_;
     Duration syncBackoff_;
+    std::optional<NextStep> nextStep_;
     bool joined_ = false;
     Source source_ = Source::Gossip;
     bool urgent_ = false;
--- a/src/libpresence/membership_sync.cpp
+++ b/src/libpresence/membership_sync.cpp
@@ -60,7 +60,10 @@
         return;
     }
     const bool alone = members_.liveCount() == 0;
-    nextDial_ = now + (alone ? options_.joinInterval_ : options_.dialInterval_);
+    const Duration groupInterval = seconds(1) * static_cast<int>(liveCount()) / options_.groupDialsPerSecond_;
+    const auto jitter = std::uniform_real_distribution<double>(0.75, 1.25)(random_);
+    const auto interval = std::max(options_.dialInterval_, groupInterval) * jitter;
+    nextDial_ = now + (alone ? options_.joinInterval_ : std::chrono::duration_cast<Duration>(interval));
     if (self_.departed_) {
         return;
     }
@@ -92,8 +95,24 @@
         std::move(message));
 }
 
-auto MembershipProtocol::Core::describeBuckets(const GossipMessage& request, GossipMessage& answer) const
+auto MembershipProtocol::Core::continueSync(TimePoint now, SeedAddress to, NodeRef target, std::uint64_t step)
     -> void
+{
+    const auto pause = joined_ ? options_.repairInterval_ : Duration::zero();
+    nextStep_ = NextStep { std::move(to), std::move(target), step, now + pause };
+    runNextStep(now);
+}
+
+auto MembershipProtocol::Core::runNextStep(TimePoint now) -> void
+{
+    if (nextStep_ && nextStep_->at_ <= now) {
+        auto step = std::move(*nextStep_);
+        nextStep_.reset();
+        startSync(now, std::move(step.to_), std::move(step.target_), step.step_);
+    }
+}
+
+auto MembershipProtocol::Core::describeBuckets(const GossipMessage& request, GossipMessage& answer) -> void
 {
     if (request.digest_.size() != bucketCount) {
         return;
@@ -115,12 +134,18 @@
             items.at(entry.bucket_).emplace_back(&key, &entry);
         }
     }
+    const auto empty = std::count(request.digest_.begin(), request.digest_.end(), 0U);
+    const bool joining = empty > static_cast<std::ptrdiff_t>(bucketCount / 2);
+    const auto budget = joining ? options_.bulkBudgetBytes_ : options_.repairBudgetBytes_;
+    // Starts at a random bucket, so that buckets that always differ do not keep out the others.
+    const auto start = std::uniform_int_distribution<std::size_t>(0, bucketCount - 1)(random_);
     std::size_t bytes = 0;
-    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+    for (std::size_t i = 0; i < bucketCount; ++i) {
+        const auto bucket = (start + i) % bucketCount;
         if (!differing.at(bucket)) {
             continue;
         }
-        if (bytes > options_.bulkBudgetBytes_) {
+        if (bytes > budget) {
             answer.more_ = true;
             break;
         }
@@ -138,7 +163,7 @@
             }
         }
         for (const auto& [key, entry] : items.at(bucket)) {
-            if (!whole || bytes > options_.bulkBudgetBytes_) {
+            if (!whole || bytes > budget) {
                 answer.itemSummary_.push_back({ *key, entry->generation_ });
                 bytes += estimateBytes(answer.itemSummary_.back());
             } else {
@@ -178,7 +203,7 @@
         const bool unknown = theirs == theirMembers.end();
         const auto note = noteOf(entry.member_);
         if (unknown ? isLive(entry) : versionOf(note) > versionOf(theirs->second)) {
-            truncated = truncated || bytes > options_.bulkBudgetBytes_;
+            truncated = truncated || bytes > options_.repairBudgetBytes_;
             if (!truncated) {
                 delta.members_.push_back(recordOf(entry));
                 bytes += estimateBytes(delta.members_.back());
@@ -197,7 +222,7 @@
         const auto theirs = theirItems.find(key);
         if (described.at(entry.bucket_)
             && (theirs == theirItems.end() || theirs->second < entry.generation_)) {
-            truncated = truncated || bytes > options_.bulkBudgetBytes_;
+            truncated = truncated || bytes > options_.repairBudgetBytes_;
             if (!truncated) {
                 delta.items_.push_back({ key, entry.generation_, entry.value_ });
                 bytes += estimateBytes(delta.items_.back());
@@ -216,7 +241,7 @@
         || !delta.wantedMembers_.empty() || !delta.wantedItems_.empty()) {
         send(now, std::move(next), std::move(delta));
     } else if (more) {
-        startSync(now, next.to_, next.target_, next.reference_ + 1);
+        continueSync(now, next.to_, next.target_, next.reference_ + 1);
     }
 }
 
--- a/src/libpresence/presence.cpp
+++ b/src/libpresence/presence.cpp
@@ -2,6 +2,7 @@
 
 #include "wagtailhead/log.h"
 
+#include <algorithm>
 #include <asio/bind_executor.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -20,6 +21,10 @@
 /// Longest time that the announcement of a departure may take.
 constexpr Duration departTimeout = seconds(1);
 
+/// The pause after replacing the membership table, as a multiple of the time that took: at most 1% of a
+/// core goes into it, also with thousands of members that change all the time.
+constexpr int publishPauseFactor = 100;
+
 /// The protocol on one strand. Lives as long as any handler that refers to it.
 class PresenceEngine : public std::enable_shared_from_this<PresenceEngine> {
 public:
@@ -230,7 +235,7 @@
             return;
         }
         publishScheduled_ = true;
-        publishTimer_.expires_at(publishedAt_ + options_.publishInterval_);
+        publishTimer_.expires_at(nextPublish_);
         publishTimer_.async_wait(asio::bind_executor(strand_, [self = shared_from_this()](const auto& error) {
             if (error || self->closed_) {
                 return;
@@ -242,9 +247,11 @@
 
     auto publishMembers() -> void
     {
-        publishedAt_ = Clock::now();
+        const auto start = Clock::now();
         publishedVersion_ = protocol_->membersVersion();
         auto list = members_.replace(protocol_->members());
+        const auto end = Clock::now();
+        nextPublish_ = end + std::max(options_.publishInterval_, (end - start) * publishPauseFactor);
         if (onMembersChange_) {
             onMembersChange_(std::move(list));
         }
@@ -277,7 +284,7 @@
     asio::steady_timer departTimer_;
     std::atomic<bool> closed_ = false;
     TimePoint wakeAt_ = TimePoint::min();
-    TimePoint publishedAt_;
+    TimePoint nextPublish_;
     std::uint64_t publishedVersion_ = 0;
     bool publishScheduled_ = false;
     bool replacementReported_ = false;
--- a/src/libsimulation/presence_simulation.cpp
+++ b/src/libsimulation/presence_simulation.cpp
@@ -116,6 +116,11 @@
     for (auto& reply : output.replies_) {
         sendReply(index, std::move(reply));
     }
+    if (itemListener_) {
+        for (const auto& item : output.items_) {
+            itemListener_(index, item);
+        }
+    }
     const auto wake = std::max(now_, node.protocol_->nextWake());
     if (wake < node.wakeAt_ || node.wakeAt_ < now_) {
         node.wakeAt_ = wake;
@@ -249,6 +254,11 @@
     observer_ = std::move(observer);
 }
 
+auto PresenceSimulation::setItemListener(ItemListener listener) -> void
+{
+    itemListener_ = std::move(listener);
+}
+
 auto PresenceSimulation::with(NodeIndex node, const std::function<void(MembershipProtocol&, TimePoint)>& call)
     -> void
 {
--- a/src/libsimulation/presence_simulation.h
+++ b/src/libsimulation/presence_simulation.h
@@ -41,6 +41,8 @@
     using NodeIndex = std::size_t;
     /// Runs after every event of a node, for invariants.
     using Observer = std::function<void(NodeIndex)>;
+    /// Runs when a node has learnt an item from another one.
+    using ItemListener = std::function<void(NodeIndex, const VersionedItem&)>;
     /// Returns whether `from` can reach `to` now.
     using Reachability = std::function<bool(NodeIndex from, NodeIndex to)>;
 
@@ -70,6 +72,7 @@
     auto setReachability(Reachability reachability) -> void;
     auto setLoss(double loss) -> void;
     auto setObserver(Observer observer) -> void;
+    auto setItemListener(ItemListener listener) -> void;
 
     /// Runs a call on a node's protocol and sends what it puts out.
     auto with(NodeIndex node, const std::function<void(MembershipProtocol&, TimePoint)>& call) -> void;
@@ -158,6 +161,7 @@
     std::uint64_t nextToken_ = 1;
     Reachability reachability_;
     Observer observer_;
+    ItemListener itemListener_;
 };
 
 /// Returns a member for simulations: number `index`, in `zone` and `region`, with distinct addresses.
--- a/src/libstore/seed_keeper.cpp
+++ b/src/libstore/seed_keeper.cpp
@@ -80,6 +80,7 @@
     std::sort(ranked.begin(), ranked.end());
     ranked.resize(std::min(ranked.size(), options_.seedCount_));
     std::vector<Address> addresses;
+    addresses.reserve(ranked.size());
     for (auto& [score, address] : ranked) {
         addresses.push_back(std::move(address));
     }
