--- a/src/include/wagtailhead/takeover.h
+++ b/src/include/wagtailhead/takeover.h
@@ -219,8 +219,11 @@
 
     auto beginCommitting(const TakeoverView& view) -> void;
     auto commitTargets(const TakeoverView& view) const -> std::set<NodeRef>;
-    auto takeCommitAck(const CommitAck& ack, const TakeoverView& view, TimePoint now) -> void;
-    auto continueCommitting() -> void;
+    auto takeCommitAck(const NodeRef& member, const CommitAck& ack, const TakeoverView& view, TimePoint now)
+        -> void;
+    auto continueCommitting(const TakeoverView& view, TimePoint now) -> void;
+    auto sealedMembers() const -> std::set<NodeRef>;
+    auto activate() -> void;
     auto allBases() const -> std::vector<EpochMembers>;
 
     const TakeoverGoal goal_;
@@ -243,9 +246,12 @@
     std::set<NodeRef> avoid_;
 
     ShardRecord record_;
+    std::set<ShardRecord> written_; ///< What this takeover has written, or may have.
     ShardTable table_;
     std::uint64_t copy_ = 0;
     std::map<NodeRef, Copy> copies_;
+    std::set<NodeRef> acceptedBy_;
+    int commitRounds_ = 0;
     std::optional<TakeoverResult> result_;
 };
 
--- a/src/libledger/owned_shard.cpp
+++ b/src/libledger/owned_shard.cpp
@@ -134,7 +134,7 @@
     -> BeginResult
 {
     if (refusal && mode_ == Mode::Active && record_.witnesses_.empty()) {
-        blocks_.block(call.key_, now);
+        blocks_.block(call.key_, now, now + notRunWindow);
         return Refuse { Outcome::NotRun, refusal->status_, refusal->reason_, blocks_.notRunUntil(call.key_) };
     }
     auto& open = open_[call.key_];
@@ -265,7 +265,7 @@
 auto OwnedShard::openFence(const Fence& fence, FenceToken token, TimePoint now, OwnerEffects& effects) -> void
 {
     if (mode_ == Mode::Active && record_.witnesses_.empty()) {
-        blocks_.block(fence.key_, now);
+        blocks_.block(fence.key_, now, now + notRunWindow);
         effects.fenceReplies_.emplace_back(
             token, FenceReply { 0, FenceState::Blocked, {}, blocks_.notRunUntil(fence.key_) });
         return;
@@ -297,7 +297,7 @@
 {
     const auto& key = at->first;
     const Answer answer { Outcome::NotRun, refusal.status_, refusal.reason_, {}, {} };
-    blocks_.block(key, now);
+    blocks_.block(key, now, notRunUntil);
     if (at->second.state_ == KeyState::Ready) {
         effects.withdrawn_.push_back({ record_.service_, record_.shard_, key });
     }
--- a/src/libledger/schedule_node_test.cpp
+++ b/src/libledger/schedule_node_test.cpp
@@ -46,6 +46,7 @@
     LedgerNodeOptions options;
     // Small pages, so that tables are copied in several parts.
     options.owner_.pageBytes_ = options.witness_.pageBytes_ = options.takeover_.partBytes_ = 600;
+    options.agent_.rankDelay_ = world_.rankDelay_;
     ledger_ = std::make_unique<LedgerNode>(member_.ref_, *map_, now(), world_.random_(), options);
     world_.inNode(index_, world_.between(milliseconds(1), tickInterval), [this] {
         tick();
@@ -186,6 +187,9 @@
             *this,
             [this, write, report] {
                 const auto result = world_.store_.write(write.key_, write.value_, write.expectedVersion_);
+                if (std::holds_alternative<StoreWritten>(result)) {
+                    world_.written();
+                }
                 return [report, result] {
                     report(result);
                 };
@@ -216,6 +220,9 @@
         fences_[token] = reply;
     }
     auto [answer, effects] = ledger_->onMessage(message, token, now());
+    if (world_.plan_.trace_) {
+        traceTakeover(message, answer);
+    }
     if (answer) {
         fences_.erase(token);
         reply(*answer);
@@ -223,6 +230,22 @@
     absorb(std::move(effects));
 }
 
+auto SimNode::traceTakeover(const Message& message, const std::optional<Message>& answer) -> void
+{
+    const auto& self = member_.ref_.id_;
+    if (const auto* seal = std::get_if<Seal>(&message)) {
+        const auto* reply = answer ? std::get_if<SealReply>(&*answer) : nullptr;
+        world_.trace(self + " seal " + seal->shard_.shard_ + " epoch " + std::to_string(seal->shard_.epoch_)
+            + " of " + seal->owner_.id_ + " for " + seal->candidate_.id_
+            + (reply && reply->sealed_ ? " sealed" : " refused"));
+    } else if (const auto* commit = std::get_if<Commit>(&message)) {
+        const auto* reply = answer ? std::get_if<CommitAck>(&*answer) : nullptr;
+        world_.trace(self + " commit " + commit->shard_.shard_ + " epoch "
+            + std::to_string(commit->shard_.epoch_) + " of " + commit->members_.owner_.id_
+            + (commit->begun_ ? " begun" : "") + (reply && reply->accepted_ ? " accepted" : " refused"));
+    }
+}
+
 auto SimNode::takeCall(const CallRequest& call, std::function<void(Message)> reply) -> void
 {
     const auto waiter = nextToken_++;
--- a/src/libledger/schedule_world.h
+++ b/src/libledger/schedule_world.h
@@ -103,6 +103,7 @@
     auto takeCall(const CallRequest& call, std::function<void(Message)> reply) -> void;
     auto takeNaiveCall(const CallRequest& call, const std::function<void(Message)>& reply) -> void;
     auto dispatch(const KeyRef& key) -> void;
+    auto traceTakeover(const Message& message, const std::optional<Message>& answer) -> void;
     auto runOnBackend(const KeyRef& key, std::function<void(Answer)> done) -> void;
     auto perform(int callId, OnceCall::Actions&& actions) -> void;
     auto recordOf(const std::string& key) const -> OnceCall::Record;
@@ -163,6 +164,8 @@
 
     auto call(std::size_t entry, const std::string& key, std::uint64_t body, Duration deadline, int repeats,
         bool probe) -> void;
+    /// Tells the world that the store has taken a write.
+    auto written() -> void;
     auto told(int callId, const Answer& answer) -> void;
     auto executed(const std::string& key, std::uint64_t body, TimePoint acceptedAt) -> Answer;
 
@@ -171,6 +174,7 @@
     FakeStore store_;
     std::vector<std::unique_ptr<SimNode>> nodes_;
     std::vector<std::string> shards_;
+    Duration rankDelay_ = Duration::zero(); ///< Of the shard agents; none makes candidates race.
     std::vector<SimCall> calls_;
     Verdict verdict_;
     Topology topology_;
@@ -193,11 +197,14 @@
     };
 
     auto buildFleet() -> void;
-    auto planCallers() -> void;
-    auto planFaults() -> void;
-    auto startFault() -> void;
-    auto cutNetwork() -> void;
+    auto planCalls(TimePoint from, Duration span, std::size_t keys) -> void;
+    auto planIncidents() -> void;
+    auto beginIncident() -> void;
+    auto membersOf(const std::string& shard) const -> std::vector<std::size_t>;
+    auto disturb(std::size_t index, const std::vector<std::size_t>& members) -> void;
+    auto cutNetwork(std::size_t centre, const std::vector<std::size_t>& members) -> void;
     auto freeze(SimNode& node) -> void;
+    auto leave(SimNode& node) -> void;
     auto thaw(std::size_t index) -> void;
     auto crash(SimNode& node) -> void;
     auto disturbStore() -> void;
@@ -219,9 +226,13 @@
     double duplication_ = 0;
     double slowness_ = 0;
     double suspicion_ = 0;
+    /// Whether the store may roll back. Such schedules have no cuts: with a cut between the members of an
+    /// epoch, nobody is left who could tell a rival of the forgotten write (docs/at-most-once.md).
+    bool forgetsWrites_ = false;
+    double forgetfulness_ = 0; ///< Probability that the store soon forgets a write.
     bool isCalm_ = false;
     Duration faultTime_ = Duration::zero();
-    std::vector<std::string> keys_;
+    int nextKey_ = 0;
     std::map<std::string, std::vector<Execution>> executions_;
     std::map<std::string, TimePoint> notRunTold_; ///< Latest, by key.
     std::map<std::pair<std::string, std::uint64_t>, TimePoint> bodyRefused_; ///< Latest 422.
--- a/src/libledger/takeover.cpp
+++ b/src/libledger/takeover.cpp
@@ -67,6 +67,7 @@
 auto Takeover::write() -> void
 {
     step_ = Step::Writing;
+    written_.insert(record_);
     storeTicket_ = nextTicket_++;
     actions_.emplace_back(TakeoverWrite { storeTicket_, record_, expectedVersion_ });
 }
@@ -96,7 +97,7 @@
         return {};
     }
     const auto& known = view.known_;
-    const auto isOwn = known && known->members() == record_.members();
+    const auto isOwn = known && written_.contains(*known);
     if (known && !isOwn && known->epoch_ > std::max(goal_.basis_, highestBase())) {
         stop("superseded");
         return takeActions();
@@ -109,6 +110,8 @@
         beginInstalling(view, now);
     } else if (step_ == Step::Writing) {
         write();
+    } else if (step_ == Step::Committing) {
+        beginCommitting(view);
     } else {
         readStore();
     }
@@ -180,6 +183,9 @@
             addBase(record.members());
         }
     }
+    if (records.empty()) {
+        addBase({}); // The state before the first epoch, which nobody has to seal.
+    }
     step_ = Step::Sealing;
     continueSealing(view, now);
 }
@@ -235,6 +241,7 @@
     storeTicket_ = 0;
     if (const auto* written = std::get_if<StoreWritten>(&result)) {
         failures_ = 0;
+        commitRounds_ = 0;
         expectedVersion_ = written->version_;
         beginCommitting(view);
     } else if (std::holds_alternative<StoreFailed>(result)) {
@@ -261,11 +268,13 @@
     }
     if (*record == record_) {
         failures_ = 0;
+        commitRounds_ = 0;
         beginCommitting(view); // The answer to the own write was lost.
-    } else if (record->epoch_ >= record_.epoch_) {
+    } else if (written_.contains(*record) || isBase(record->members()) || record->epoch_ < lowestBase()) {
+        // An earlier write of this takeover, a store that was rolled back, or a stale read.
+        pause(Step::Writing, now);
+    } else if (record->epoch_ > highestBase()) {
         stop("conflict", record);
-    } else if (isBase(record->members()) || record->epoch_ < lowestBase()) {
-        pause(Step::Writing, now); // Rewritten or rolled back, or the read was stale.
     } else {
         addBase(record->members());
         step_ = Step::Sealing;
@@ -289,7 +298,7 @@
         takeInstallAck(std::get<Install>(pending.message_), *installAck, view, now);
     } else if (const auto* commitAck = std::get_if<CommitAck>(&reply);
                commitAck && step_ == Step::Committing) {
-        takeCommitAck(*commitAck, view, now);
+        takeCommitAck(pending.to_, *commitAck, view, now);
     }
     return takeActions();
 }
@@ -311,7 +320,7 @@
     } else if (std::holds_alternative<Install>(pending.message_) && step_ == Step::Installing) {
         replaceWitness(pending.to_, view, now);
     } else if (step_ == Step::Committing) {
-        continueCommitting();
+        continueCommitting(view, now);
     }
     return takeActions();
 }
--- a/src/libledger/takeover_commit.cpp
+++ b/src/libledger/takeover_commit.cpp
@@ -11,6 +11,10 @@
 /// Candidates that accept the first epoch of a shard in place of members of an earlier one.
 constexpr std::size_t creationWitnesses = 3;
 
+/// Rounds of Commits before an epoch that nobody accepts is given up. With their timeouts they take some
+/// seconds, within which the membership finds out who is dead.
+constexpr int mostCommitRounds = 5;
+
 } // namespace
 
 /// Chooses the new epoch and its witnesses and begins to copy the table to them.
@@ -96,38 +100,63 @@
     beginInstalling(view, now);
 }
 
-/// Returns the sealed epochs and those that takeovers before had sealed for epochs that may never have
-/// begun.
+/// Returns the sealed epochs, those that takeovers before had sealed for epochs that may never have begun,
+/// and those that this takeover itself has written and given up.
 auto Takeover::allBases() const -> std::vector<EpochMembers>
 {
     auto all = olderBases_;
+    for (const auto& record : written_) {
+        if (record.epoch_ < record_.epoch_) {
+            all.push_back(record.members());
+        }
+    }
     for (const auto& base : bases_) {
         all.push_back(base.members_);
     }
     return all;
 }
 
+/// Asks the members of all bases to accept the epoch. Members that were sealed a moment ago are waited for
+/// even if the membership holds them for dead: they would know a rival that the store has forgotten.
 auto Takeover::beginCommitting(const TakeoverView& view) -> void
 {
     step_ = Step::Committing;
     pending_.clear();
+    acceptedBy_.clear();
+    ++commitRounds_;
+    const auto sealed = sealedMembers();
     const Commit commit { 0, record_.ref(), {}, record_.members(), allBases(), false };
     for (const auto& target : commitTargets(view)) {
         auto message = commit;
         message.member_ = target;
-        const auto isPresent = view.members_.isPresent(target) || target == goal_.self_.ref_;
-        request(target, message, isPresent ? options_.requestTries_ : 1, isPresent);
+        const auto isAwaited
+            = view.members_.isPresent(target) || sealed.contains(target) || target == goal_.self_.ref_;
+        request(target, message, isAwaited ? options_.requestTries_ : 1, isAwaited);
+    }
+}
+
+auto Takeover::sealedMembers() const -> std::set<NodeRef>
+{
+    std::set<NodeRef> sealed;
+    for (const auto& base : bases_) {
+        for (const auto& [member, target] : base.targets_) {
+            if (target.progress_ == Progress::Done) {
+                sealed.insert(member);
+            }
+        }
     }
+    return sealed;
 }
 
 auto Takeover::commitTargets(const TakeoverView& view) const -> std::set<NodeRef>
 {
     std::set<NodeRef> targets { goal_.self_.ref_ };
     for (const auto& base : allBases()) {
-        targets.insert(base.owner_);
-        targets.insert(base.witnesses_.begin(), base.witnesses_.end());
-    }
-    if (bases_.empty()) {
+        if (base.epoch_ != 0) {
+            targets.insert(base.owner_);
+            targets.insert(base.witnesses_.begin(), base.witnesses_.end());
+            continue;
+        }
         const auto candidates = rankCandidates(goal_.service_, goal_.shard_, view.members_);
         for (std::size_t rank = 0; rank < std::min(candidates.size(), creationWitnesses); ++rank) {
             targets.insert(candidates[rank]->ref_);
@@ -136,8 +165,12 @@
     return targets;
 }
 
-auto Takeover::takeCommitAck(const CommitAck& ack, const TakeoverView& view, TimePoint now) -> void
+auto Takeover::takeCommitAck(
+    const NodeRef& member, const CommitAck& ack, const TakeoverView& view, TimePoint now) -> void
 {
+    if (ack.accepted_) {
+        acceptedBy_.insert(member);
+    }
     const auto isRefused = !ack.accepted_ && ack.known_.epoch_ != 0;
     if (isRefused && ack.known_.epoch_ > record_.epoch_) {
         stop("superseded", toRecord(ack.known_));
@@ -147,11 +180,13 @@
         step_ = Step::Sealing;
         continueSealing(view, now);
     } else {
-        continueCommitting();
+        continueCommitting(view, now);
     }
 }
 
-auto Takeover::continueCommitting() -> void
+/// Activates the epoch when all have answered and another member that was sealed has accepted it. Without
+/// one the epoch is given up, unless all of them are gone.
+auto Takeover::continueCommitting(const TakeoverView& view, TimePoint now) -> void
 {
     const auto isAwaited = [](const auto& entry) {
         return entry.second.awaited_;
@@ -159,6 +194,27 @@
     if (std::any_of(pending_.begin(), pending_.end(), isAwaited)) {
         return;
     }
+    auto sealed = sealedMembers();
+    sealed.erase(goal_.self_.ref_);
+    const auto hasAccepted = [this](const NodeRef& member) {
+        return acceptedBy_.contains(member);
+    };
+    const auto isPresent = [&view](const NodeRef& member) {
+        return view.members_.isPresent(member);
+    };
+    if (sealed.empty() || std::any_of(sealed.begin(), sealed.end(), hasAccepted)) {
+        activate();
+    } else if (commitRounds_ < mostCommitRounds) {
+        pause(Step::Committing, now);
+    } else if (std::any_of(sealed.begin(), sealed.end(), isPresent)) {
+        stop("no member accepts the epoch");
+    } else {
+        activate();
+    }
+}
+
+auto Takeover::activate() -> void
+{
     step_ = Step::Ended;
     pending_.clear();
     for (const auto& witness : record_.witnesses_) {
--- a/src/libledger/takeover_seal.cpp
+++ b/src/libledger/takeover_seal.cpp
@@ -52,6 +52,9 @@
 auto Takeover::continueBase(Base& base, const TakeoverView& view) -> bool
 {
     const auto& members = base.members_;
+    if (members.epoch_ == 0) {
+        return true;
+    }
     auto isWaiting = false;
     for (const auto& witness : members.witnesses_) {
         const auto isPresent = view.members_.isPresent(witness);
--- a/src/libledger/witnessed_shard.cpp
+++ b/src/libledger/witnessed_shard.cpp
@@ -74,7 +74,7 @@
         return refuse(record_refusal::recorded); // Finished, or started in an earlier epoch.
     }
     if (record.block_) {
-        table.blocks_.block(record.key_, now);
+        table.blocks_.block(record.key_, now, now + notRunWindow);
         return { 0, true, highestEpoch(), {} };
     }
     if (isOwn && record.round_ < own->second.round_) {
@@ -83,7 +83,7 @@
     if (!isOwn || record.round_ > own->second.round_) {
         const auto isBlocked = table.blocks_.refuses(record.key_, record.acceptedAt_);
         if (isBlocked || (!known && bytes_ >= options_.maxBytes_)) {
-            table.blocks_.block(record.key_, now);
+            table.blocks_.block(record.key_, now, now + notRunWindow);
             return refuse(isBlocked ? record_refusal::blocked : record_refusal::full);
         }
     }
@@ -107,7 +107,7 @@
         if (outcome.answer_.outcome_ == Outcome::NotRun && isSame && !table->sealed_) {
             table->own_.erase(own);
             table->records_.erase(outcome.key_);
-            table->blocks_.block(outcome.key_, now);
+            table->blocks_.block(outcome.key_, now, now + notRunWindow);
         }
     }
 }
@@ -130,7 +130,7 @@
     if (table->sealed_ || !table->active_ || isSuperseded(fence.shard_.epoch_, fence.owner_)) {
         return { 0, FenceState::NotMine, {}, {} };
     }
-    table->blocks_.block(fence.key_, now);
+    table->blocks_.block(fence.key_, now, now + notRunWindow);
     return { 0, FenceState::Blocked, {}, table->blocks_.notRunUntil(fence.key_) };
 }
 
