--- a/src/libload/answer_check.cpp
+++ b/src/libload/answer_check.cpp
@@ -37,22 +37,30 @@
                                 : AttemptEnd::NoAnswer;
 }
 
-/// Returns why the last sub-call in the answer of a backend server stand-in failed, or "" if none did.
+/// Returns which sub-call in the answer of a backend server stand-in failed, with the reasons of all its
+/// attempts, or "" if none did.
 auto failedSubCall(const std::string& body) -> std::string
 {
     const auto answer = nlohmann::json::parse(body, nullptr, false);
     if (!answer.is_object() || !answer.contains("subCalls") || !answer["subCalls"].is_array()) {
         return "";
     }
-    std::string text;
     for (const auto& call : answer["subCalls"]) {
-        const auto status = call.is_object() ? call.value("status", 0) : 0;
-        const auto reason = call.is_object() ? call.value("reason", "") : "";
-        if (!reason.empty() && (status < firstSuccess || status >= firstRedirect)) {
-            text = " " + call.value("call", "") + " " + (reason == "ok" ? std::to_string(status) : reason);
+        if (!call.is_object()) {
+            continue;
         }
+        const auto status = call.value("status", 0);
+        const auto reason = call.value("reason", "");
+        if (reason.empty() || (status >= firstSuccess && status < firstRedirect)) {
+            continue;
+        }
+        std::string text = " " + call.value("call", "");
+        for (const auto& earlier : call.value("earlierReasons", std::vector<std::string> {})) {
+            text += " " + earlier + ",";
+        }
+        return text + " " + (reason == "ok" ? std::to_string(status) : reason);
     }
-    return text;
+    return "";
 }
 
 /// Returns whether `padding` repeats `unit` and nothing else.
--- a/src/standins/libstandin/audit_log_test.cpp
+++ b/src/standins/libstandin/audit_log_test.cpp
@@ -1,7 +1,10 @@
 #include "audit_log.h"
 
 #include <criterion/criterion.h>
+#include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 using namespace wagtailhead;
 using namespace wagtailhead::standin;
@@ -30,3 +33,33 @@
     cr_assert_eq(nlohmann::json::parse(log.text(1)).at("executions").size(), 1U);
     cr_assert(nlohmann::json::parse(log.text(9)).at("executions").empty());
 }
+
+/// Guards against executions that a killed process takes with it, and against a replaced process that
+/// overwrites the file of the one before.
+Test(audit_log, file_has_every_begin_and_end)
+{
+    const auto path = std::filesystem::temp_directory_path()
+        / ("audit_log_test." + std::to_string(getpid()) + ".jsonl");
+    const WallClock::time_point base { milliseconds(1'000) };
+    for (int i = 0; i < 2; ++i) {
+        AuditLog log;
+        cr_assert(isOk(log.writeTo(path.string())));
+        const auto index = log.begin({ "k1", "n/1", "critical", "r1", "POST", "/orders" }, base);
+        log.begin({ "k2", "n/2", "critical", "r2", "POST", "/orders" }, base);
+        log.end(index, ExecutionState::Done, base + milliseconds(4));
+    }
+    std::ifstream file(path);
+    std::vector<nlohmann::json> rows;
+    for (std::string line; std::getline(file, line);) {
+        rows.push_back(nlohmann::json::parse(line));
+    }
+    std::filesystem::remove(path);
+    cr_assert_eq(rows.size(), 6U);
+    cr_assert_eq(rows[0].at("key"), "k1");
+    cr_assert_eq(rows[0].at("requestId"), "r1");
+    cr_assert_eq(rows[0].at("start"), 1'000);
+    cr_assert_eq(rows[2].at("number"), rows[0].at("number"));
+    cr_assert_eq(rows[2].at("end"), 1'004);
+    cr_assert_eq(rows[2].at("state"), "done");
+    cr_assert(!isOk(AuditLog().writeTo("/no/such/folder/audit")));
+}
--- a/src/standins/libstandin/backend_answer.cpp
+++ b/src/standins/libstandin/backend_answer.cpp
@@ -22,7 +22,8 @@
         rows.push_back(
             { { "call", outcome.call_.method_ + " " + outcome.call_.service_ + ":" + outcome.call_.path_ },
                 { "status", outcome.status_ }, { "attempts", outcome.attempts_ },
-                { "outcome", outcome.outcome_ }, { "reason", outcome.reason_ } });
+                { "outcome", outcome.outcome_ }, { "reason", outcome.reason_ },
+                { "earlierReasons", outcome.earlierReasons_ } });
     }
     return rows;
 }
--- a/src/standins/libstandin/backend_answer.h
+++ b/src/standins/libstandin/backend_answer.h
@@ -18,6 +18,7 @@
     int attempts_ = 0; ///< How often the stand-in sent it.
     std::string outcome_; ///< `Wagtailhead-Outcome` of the last answer.
     std::string reason_; ///< `Wagtailhead-Reason` of the last answer, or how the connection failed.
+    std::vector<std::string> earlierReasons_ {}; ///< Of the attempts before the last one, in their order.
 
     /// Returns whether the last answer was a success.
     auto succeeded() const -> bool;
--- a/src/standins/wagtailhead-standin-backend/sub_calls.cpp
+++ b/src/standins/wagtailhead-standin-backend/sub_calls.cpp
@@ -84,6 +84,9 @@
     }
     requests_[index] = 0;
     auto& outcome = outcomes_[index];
+    if (outcome.attempts_ > 1) {
+        outcome.earlierReasons_.push_back(outcome.reason_);
+    }
     if (const auto* response = std::get_if<HttpResponse>(&result)) {
         outcome.status_ = response->status_;
         outcome.outcome_ = findHeader(response->headers_, "Wagtailhead-Outcome").value_or("");
