--- a/src/include/wagtailhead/active_config.h
+++ b/src/include/wagtailhead/active_config.h
@@ -17,6 +17,7 @@
     RetriesConfig retries_;
     LimitsConfig limits_;
     LeavingConfig leaving_;
+    LostConfig lost_;
     /// Generation in force by kind; absent for kinds that have not been received.
     std::map<ConfigKind, std::uint64_t> generations_;
 
--- a/src/include/wagtailhead/config_documents.h
+++ b/src/include/wagtailhead/config_documents.h
@@ -7,9 +7,12 @@
 
 #include "wagtailhead/call_context.h"
 #include "wagtailhead/clock.h"
+#include "wagtailhead/ids.h"
 #include "wagtailhead/result.h"
 
+#include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,12 +26,13 @@
     Limits,
     Links,
     Leaving,
+    Lost,
 };
 
-constexpr std::array<ConfigKind, 5> allConfigKinds { ConfigKind::Classes, ConfigKind::Retries,
-    ConfigKind::Limits, ConfigKind::Links, ConfigKind::Leaving };
+constexpr std::array<ConfigKind, 6> allConfigKinds { ConfigKind::Classes, ConfigKind::Retries,
+    ConfigKind::Limits, ConfigKind::Links, ConfigKind::Leaving, ConfigKind::Lost };
 
-/// Returns "classes", "retries", "limits", "links" or "leaving".
+/// Returns "classes", "retries", "limits", "links", "leaving" or "lost".
 auto configKindName(ConfigKind kind) -> const char*;
 auto parseConfigKind(std::string_view text) -> Result<ConfigKind>;
 
@@ -97,12 +101,29 @@
     std::vector<std::string> nodes_; ///< Node ids whose backend servers take no new work.
 };
 
+/// A process that an operator declared dead for good.
+struct LostNode {
+    NodeRef ref_;
+    WallClock::time_point declaredAt_; ///< When the declaration was confirmed, in whole milliseconds.
+
+    auto operator==(const LostNode&) const -> bool = default;
+};
+
+/// Declarations of the design page, section 3.7: shards whose members are all lost may be taken over.
+struct LostConfig {
+    std::vector<LostNode> nodes_;
+
+    /// Returns the declarations by process, as takeovers look them up.
+    auto byNode() const -> std::map<NodeRef, WallClock::time_point>;
+};
+
 /// Parsers of the whole documents. `generation` of a document is read with parseGeneration.
 auto parseClassesConfig(std::string_view json) -> Result<ClassesConfig>;
 auto parseRetriesConfig(std::string_view json) -> Result<RetriesConfig>;
 auto parseLimitsConfig(std::string_view json) -> Result<LimitsConfig>;
 auto parseLinksConfig(std::string_view json) -> Result<LinksConfig>;
 auto parseLeavingConfig(std::string_view json) -> Result<LeavingConfig>;
+auto parseLostConfig(std::string_view json) -> Result<LostConfig>;
 
 /// Reads the generation (at least 1) of any document.
 auto parseGeneration(std::string_view json) -> Result<std::uint64_t>;
--- a/src/include/wagtailhead/ids.h
+++ b/src/include/wagtailhead/ids.h
@@ -20,7 +20,7 @@
     NodeId id_;
     Incarnation incarnation_ = 0;
 
-    auto operator<=>(const NodeRef&) const = default;
+    auto operator<=>(const NodeRef&) const = default; // NOLINT(modernize-use-nullptr): false finding
 };
 
 /// The identity of a root request, shared by all calls made for it.
--- a/src/libconfig/active_config.cpp
+++ b/src/libconfig/active_config.cpp
@@ -27,6 +27,8 @@
         return store(parseLinksConfig(json), config.links_);
     case ConfigKind::Leaving:
         return store(parseLeavingConfig(json), config.leaving_);
+    case ConfigKind::Lost:
+        return store(parseLostConfig(json), config.lost_);
     }
     return Error { ErrorCode::Internal, "unknown configuration kind" };
 }
--- a/src/libconfig/config_documents.cpp
+++ b/src/libconfig/config_documents.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
-constexpr std::array kindNames { "classes", "retries", "limits", "links", "leaving" };
+constexpr std::array kindNames { "classes", "retries", "limits", "links", "leaving", "lost" };
 constexpr std::int64_t maxLinkBytesPerSecond = 100'000'000'000;
+/// Later times do not fit into WallClock::time_point, which counts nanoseconds.
+constexpr std::int64_t maxUnixMs = 9'000'000'000'000;
 
 /// Parses a document and hands its fields to `read`; the fields that every document may have are known.
 template <typename Config>
@@ -84,6 +86,20 @@
     return region;
 }
 
+auto parseLostNode(const nlohmann::json& json, const std::string& path) -> Result<LostNode>
+{
+    JsonFields fields(json, path);
+    LostNode node;
+    node.ref_.id_ = fields.text("id");
+    node.ref_.incarnation_ = static_cast<Incarnation>(fields.integer("incarnation", 1, INT64_MAX));
+    node.declaredAt_ = WallClock::time_point(milliseconds(fields.integer("declaredMs", 1, maxUnixMs)));
+    const auto finished = fields.finish();
+    if (!isOk(finished)) {
+        return errorOf(finished);
+    }
+    return node;
+}
+
 /// Returns a name that stands twice among all regions and zones, or an empty text. A key prefix must
 /// name exactly one of them.
 auto repeatedName(const std::vector<RegionConfig>& regions) -> std::string
@@ -118,7 +134,7 @@
     }
     return Error { ErrorCode::InvalidArgument,
         "configuration kind '" + std::string(text)
-            + "' is not one of classes, retries, limits, links, leaving" };
+            + "' is not one of classes, retries, limits, links, leaving, lost" };
 }
 
 auto configKey(ConfigKind kind) -> std::string
@@ -177,6 +193,15 @@
     return std::nullopt;
 }
 
+auto LostConfig::byNode() const -> std::map<NodeRef, WallClock::time_point>
+{
+    std::map<NodeRef, WallClock::time_point> declared;
+    for (const auto& node : nodes_) {
+        declared.emplace(node.ref_, node.declaredAt_);
+    }
+    return declared;
+}
+
 auto parseClassesConfig(std::string_view json) -> Result<ClassesConfig>
 {
     return parseDocument<ClassesConfig>(
@@ -253,6 +278,20 @@
         });
 }
 
+auto parseLostConfig(std::string_view json) -> Result<LostConfig>
+{
+    return parseDocument<LostConfig>(json, ConfigKind::Lost, [](JsonFields& fields, LostConfig& config) {
+        fields.each("nodes", [&](const nlohmann::json& item, const std::string& path) -> Result<Done> {
+            auto node = parseLostNode(item, path);
+            if (!isOk(node)) {
+                return errorOf(node);
+            }
+            config.nodes_.push_back(valueOf(std::move(node)));
+            return Done {};
+        });
+    });
+}
+
 auto parseGeneration(std::string_view json) -> Result<std::uint64_t>
 {
     auto parsed = parseJsonObject(json, "configuration");
@@ -287,6 +326,8 @@
         return discard(parseLinksConfig(json));
     case ConfigKind::Leaving:
         return discard(parseLeavingConfig(json));
+    case ConfigKind::Lost:
+        return discard(parseLostConfig(json));
     }
     return Error { ErrorCode::Internal, "unknown configuration kind" };
 }
--- a/src/libconfig/config_documents_test.cpp
+++ b/src/libconfig/config_documents_test.cpp
@@ -36,6 +36,10 @@
         { ConfigKind::Links, R"({"generation":1,"regions":[{"name":"a","zones":["a"]}]})", "links.regions" },
         { ConfigKind::Leaving, R"({"generation":1,"nodes":[7]})", "leaving.nodes[0]" },
         { ConfigKind::Leaving, R"({"generation":18446744073709551615,"nodes":[]})", "leaving.generation" },
+        { ConfigKind::Lost, R"({"generation":1,"nodes":[{"id":"a","incarnation":0,"declaredMs":1}]})",
+            "lost.nodes[0].incarnation" },
+        { ConfigKind::Lost, R"({"generation":1,"nodes":[{"id":"a","incarnation":1}]})",
+            "lost.nodes[0].declaredMs" },
     };
     for (const auto& bad : cases) {
         const auto result = checkConfigDocument(bad.kind_, bad.json_);
