--- a/src/include/wagtailhead/messages.h
+++ b/src/include/wagtailhead/messages.h
@@ -264,8 +264,20 @@
     EpochMembers known_;
 };
 
+/// Asks a node for its status figures, or for those of its whole zone.
+struct SummaryRequest {
+    std::uint64_t requestId_ = 0;
+    bool wholeZone_ = false;
+};
+
+struct SummaryReply {
+    std::uint64_t requestId_ = 0;
+    std::string text_; ///< JSON of a ZoneReport.
+};
+
 using Message = std::variant<Hello, Ping, Pong, CallRequest, CallReply, CancelCall, Fence, FenceReply,
-    RecordStart, RecordAck, RecordOutcome, Seal, SealReply, Install, InstallAck, Commit, CommitAck>;
+    RecordStart, RecordAck, RecordOutcome, Seal, SealReply, Install, InstallAck, Commit, CommitAck,
+    SummaryRequest, SummaryReply>;
 
 /// Encodes a message with MessagePack. Time points are written relative to `now`.
 auto encodeMessage(const Message& message, TimePoint now) -> std::string;
--- a/src/include/wagtailhead/node_settings.h
+++ b/src/include/wagtailhead/node_settings.h
@@ -3,6 +3,7 @@
 
 #include "wagtailhead/mechanism.h"
 #include "wagtailhead/member.h"
+#include "wagtailhead/operator_teams.h"
 #include "wagtailhead/peer_transport.h"
 #include "wagtailhead/settings.h"
 
@@ -33,8 +34,8 @@
     Mechanism shedding_ = Mechanism::Adaptive;
     Mechanism routing_ = Mechanism::Adaptive;
     Mechanism retries_ = Mechanism::Adaptive;
-    /// Operator tokens as `team=token:service+service`, separated by commas; empty allows nothing.
-    std::string operatorTokens_;
+    /// Teams that may use the administration API; none by default.
+    OperatorTeams operatorTeams_;
 };
 
 /// Reads and checks all settings of a node. The error names the first bad one.
--- a/src/include/wagtailhead/peer_transport.h
+++ b/src/include/wagtailhead/peer_transport.h
@@ -77,7 +77,8 @@
     using ReplyFunction = std::function<void(Message)>;
 
     /// Runs for every message that is not a reply to a request of this node: CallRequest, CancelCall,
-    /// Fence, RecordStart, RecordOutcome, Seal, Install. `from` is the sender of the connection's Hello.
+    /// Fence, RecordStart, RecordOutcome, Seal, Install, SummaryRequest. `from` is the sender of the
+    /// connection's Hello.
     using Handler = std::function<void(const NodeRef& from, Message message, ReplyFunction reply)>;
 
     using ReplyCallback = std::function<void(std::variant<Message, PeerFailure>)>;
@@ -87,8 +88,9 @@
 
     virtual ~PeerTransport() = default;
 
-    /// Sends a request (CallRequest, Fence, RecordStart, Seal or Install) and waits for its reply. The
-    /// transport fills in the request id of the message and returns it. The callback runs exactly once.
+    /// Sends a request (CallRequest, Fence, RecordStart, Seal, Install or SummaryRequest) and waits for its
+    /// reply. The transport fills in the request id of the message and returns it. The callback runs exactly
+    /// once.
     virtual auto request(const PeerTarget& peer, PeerChannel channel, Message message, Duration timeout,
         ReplyCallback callback) -> std::uint64_t = 0;
 
--- a/src/include/wagtailhead/settings.h
+++ b/src/include/wagtailhead/settings.h
@@ -25,12 +25,17 @@
     /// match the usage text. Options in the usage text must carry no docopt defaults.
     static auto fromCommandLine(const char* usage, int argc, const char* const* argv) -> Settings;
 
-    /// Builds settings from a map of flag (without dashes) to value, for tests.
-    static auto fromMap(std::map<std::string, std::string> values) -> Settings;
+    /// Builds settings from a map of flag (without dashes) to value, and from a map of command or argument
+    /// ("intent", "KIND") to value, for tests.
+    static auto fromMap(std::map<std::string, std::string> values,
+        std::map<std::string, std::string> arguments = {}) -> Settings;
 
     /// Returns the value of `name` ("peer-listen"), or nothing if neither flag nor variable is set.
     auto find(std::string_view name) const -> std::optional<std::string>;
 
+    /// Returns the value of `name` if it stands on the command line, whatever the environment says.
+    auto given(std::string_view name) const -> std::optional<std::string>;
+
     /// Returns a required text.
     auto text(std::string_view name) const -> Result<std::string>;
     auto text(std::string_view name, std::string_view fallback) const -> std::string;
--- a/src/libbase/settings.cpp
+++ b/src/libbase/settings.cpp
@@ -96,10 +96,12 @@
     return settings;
 }
 
-auto Settings::fromMap(std::map<std::string, std::string> values) -> Settings
+auto Settings::fromMap(
+    std::map<std::string, std::string> values, std::map<std::string, std::string> arguments) -> Settings
 {
     Settings settings;
     settings.values_ = std::move(values);
+    settings.arguments_ = std::move(arguments);
     return settings;
 }
 
@@ -114,6 +116,12 @@
     return std::nullopt;
 }
 
+auto Settings::given(std::string_view name) const -> std::optional<std::string>
+{
+    const auto found = values_.find(std::string(name));
+    return found == values_.end() ? std::nullopt : std::optional(found->second);
+}
+
 auto Settings::text(std::string_view name) const -> Result<std::string>
 {
     if (auto value = find(name); value && !value->empty()) {
--- a/src/libconfig/confirm.cpp
+++ b/src/libconfig/confirm.cpp
@@ -133,7 +133,14 @@
     auto intent = plan.intent_;
     // The base is the planned one; the generation that the operator had edited was checked then.
     intent.editedGeneration_.reset();
-    auto planned = makePlan(intent, base, surroundings.world_, plan.id_, plan.team_, surroundings.now_);
+    // The load is not measured again; the plan's figures keep its warnings comparable.
+    auto world = surroundings.world_;
+    for (const auto& row : plan.capacity_) {
+        if (row.load_) {
+            world.loads_[{ row.service_, row.zone_ }] = *row.load_;
+        }
+    }
+    auto planned = makePlan(intent, base, world, plan.id_, plan.team_, surroundings.now_);
     if (const auto* error = std::get_if<OperatorError>(&planned)) {
         return *error;
     }
@@ -169,9 +176,14 @@
     if (std::holds_alternative<std::uint64_t>(result)) {
         return done(write_->value_, false);
     }
-    if (const auto* conflict = std::get_if<ConfigWriteConflict>(&result)) {
+    const auto* conflict = std::get_if<ConfigWriteConflict>(&result);
+    if (conflict && (conflict->current_ || !write_->version_)) {
         return resolve(conflict->current_);
     }
+    if (conflict && !uncertain_ && attempts_ < maxAttempts) {
+        // The object was removed, or the store did not say what it is; nothing has been written.
+        return readDocument();
+    }
     if (std::holds_alternative<ConfigStoreUnavailable>(result) && !uncertain_) {
         return storeUnavailable();
     }
--- a/src/libconfig/control_test_support.h
+++ b/src/libconfig/control_test_support.h
@@ -87,6 +87,17 @@
         objects_[key] = { ++version_, value };
     }
 
+    auto list(const std::string& prefix) const -> std::vector<ConfigListEntry>
+    {
+        std::vector<ConfigListEntry> entries;
+        for (const auto& [key, value] : objects_) {
+            if (key.starts_with(prefix)) {
+                entries.push_back({ key, value });
+            }
+        }
+        return entries;
+    }
+
     auto value(const std::string& key) const -> std::string
     {
         const auto found = objects_.find(key);
--- a/src/libnet/messages.cpp
+++ b/src/libnet/messages.cpp
@@ -323,6 +323,16 @@
     a(v.requestId_, v.accepted_, v.known_);
 }
 
+template <typename A> auto describe(A& a, SummaryRequest& v) -> void
+{
+    a(v.requestId_, v.wholeZone_);
+}
+
+template <typename A> auto describe(A& a, SummaryReply& v) -> void
+{
+    a(v.requestId_, v.text_);
+}
+
 /// Decodes the message type with this index, trying the alternatives of Message in order.
 template <std::size_t Index = 0> auto readAlternative(std::size_t index, Reader& reader) -> Message
 {
--- a/src/libnet/peer_transport.cpp
+++ b/src/libnet/peer_transport.cpp
@@ -81,6 +81,9 @@
     if (const auto* reply = std::get_if<CommitAck>(&message)) {
         return reply->requestId_;
     }
+    if (const auto* reply = std::get_if<SummaryReply>(&message)) {
+        return reply->requestId_;
+    }
     return std::nullopt;
 }
 
--- a/src/libnode/admin_server.cpp
+++ b/src/libnode/admin_server.cpp
@@ -14,7 +14,9 @@
 
 auto respondJson(HttpResponder& responder, int status, const nlohmann::json& body) -> void
 {
-    responder.respond({ status, { { "Content-Type", "application/json" } }, body.dump() + "\n" });
+    // Paths may contain bytes that are no UTF-8.
+    const auto text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    responder.respond({ status, { { "Content-Type", "application/json" } }, text + "\n" });
 }
 
 } // namespace
--- a/src/libnode/call_entry.cpp
+++ b/src/libnode/call_entry.cpp
@@ -1,6 +1,7 @@
 #include "call_entry.h"
 
 #include "caller_answer.h"
+#include "overload_counts.h"
 #include "path_group.h"
 #include "wagtailhead/log.h"
 #include "wagtailhead/metrics.h"
@@ -122,6 +123,7 @@
         = parts_.levels_.check(call.service_, request->pathGroup_, priority, call.context_.rootHash_, now);
     // An order that an earlier attempt may have started is the business of the key's owner alone.
     if (level.verdict_ == LevelVerdict::Refuse && !call.class_.once_) {
+        overloadCounts().countShed(call.service_, priority, now);
         answer(request, notRun("shed"));
         return;
     }
@@ -242,6 +244,7 @@
     outcomeCounter(answer.outcome_, request->priority_).Increment();
     request->responder_->respond(toHttpResponse(answer, request->requestId_));
     if (answer.outcome_ == Outcome::Unknown) {
+        overloadCounts().countUnknown(request->priority_, Clock::now());
         logEvent(LogLevel::Info, "request_unknown",
             { { "request", request->requestId_ }, { "service", request->service_ },
                 { "reason", answer.reason_ } });
--- a/src/libnode/call_executor.cpp
+++ b/src/libnode/call_executor.cpp
@@ -1,6 +1,7 @@
 #include "call_executor.h"
 
 #include "caller_answer.h"
+#include "overload_counts.h"
 #include "path_group.h"
 #include "wagtailhead/log.h"
 
@@ -307,6 +308,9 @@
         execution->state_ = ExecutionState::Released;
         byAdmission_.erase(execution->admission_);
     }
+    if (answer.reason_ != refusalReasonName(RefusalReason::Cancelled)) {
+        overloadCounts().countShed(service_, execution->call_.context_.priority_, Clock::now());
+    }
     if (execution->call_.once_) {
         parts_.once_.refused(execution->call_, answer);
         return;
--- a/src/libnode/ledger_service.cpp
+++ b/src/libnode/ledger_service.cpp
@@ -82,7 +82,8 @@
     const auto now = Clock::now();
     const auto members = parts_.members_.snapshot();
     if (const auto* self = members->find(parts_.self_.id_)) {
-        apply(ledger_.tick({ members, *self, ownShardNames(), {} }, now));
+        apply(
+            ledger_.tick({ members, *self, ownShardNames(), parts_.config_.current()->lost_.byNode() }, now));
     }
     forgetOldExecutions(now);
     timer_.expires_after(tickInterval);
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -5,6 +5,7 @@
 #include "call_entry.h"
 #include "caller_answer.h"
 #include "ledger_service.h"
+#include "node_control.h"
 #include "node_dump.h"
 #include "store_link.h"
 #include "wagtailhead/log.h"
@@ -85,6 +86,7 @@
     std::unique_ptr<OnceSender> onceSender_;
     std::unique_ptr<CallEntry> entry_;
     std::unique_ptr<BackendMonitor> monitor_;
+    std::unique_ptr<NodeControl> control_;
     std::unique_ptr<HttpServer> callerServer_;
     std::unique_ptr<HttpServer> subCallServer_;
     const TimePoint startedAt_ = Clock::now();
@@ -198,6 +200,9 @@
         context_, *backendHttp_, settings_.backend_, [this](const BackendState& state) {
             onBackendState(state);
         });
+    control_ = std::make_unique<NodeControl>(NodeControlParts { context_, settings_, *storeHttp_, *transport_,
+                                                 items_, config_, members_, shards_, *executor_ },
+        settings_.seed_ + 7);
 }
 
 auto NodeProcess::openServers() -> Result<Done>
@@ -213,7 +218,9 @@
                     [this] {
                         return dump();
                     },
-                    nullptr);
+                    [this](const HttpRequest& admin, const std::shared_ptr<HttpResponder>& answer) {
+                        control_->handle(admin, answer);
+                    });
                 return;
             }
             entry_->onCallerRequest(std::move(request), responder);
@@ -267,6 +274,8 @@
         });
     } else if (const auto* cancel = std::get_if<CancelCall>(&message)) {
         executor_->cancel(from, cancel->callId_);
+    } else if (const auto* summary = std::get_if<SummaryRequest>(&message)) {
+        control_->onRequest(*summary, std::move(reply));
     } else {
         ledger_->onMessage(message, reply);
     }
--- a/src/libnode/node_settings.cpp
+++ b/src/libnode/node_settings.cpp
@@ -143,7 +143,7 @@
     node.shedding_ = reader.mechanism("shedding");
     node.routing_ = reader.mechanism("routing");
     node.retries_ = reader.mechanism("retries");
-    node.operatorTokens_ = settings.text("operator-tokens", "");
+    node.operatorTeams_ = reader.take(parseOperatorTeams(settings.text("operator-tokens", "")));
     if (!reader.error()) {
         checkDistinct(reader, node);
     }
