--- a/src/libctl/ctl_options_test.cpp
+++ b/src/libctl/ctl_options_test.cpp
@@ -15,7 +15,7 @@
     const char* named_; ///< What the error must name.
 };
 
-const Texts access { { "node", "127.0.0.1:80" } };
+const Texts operatorAccess { { "node", "127.0.0.1:80" } };
 
 auto with(Texts base, const Texts& more) -> Texts
 {
@@ -36,23 +36,25 @@
     setenv("WAGTAILHEAD_TOKEN", "secret-token", 1);
     const Texts confirm { { "intent", "true" }, { "confirm", "true" }, { "ID", "0123456789abcdef" } };
     const BadLine cases[] = {
-        { intentOf("retries"), access, "FILE" },
-        { intentOf("unknown"), access, "'unknown'" },
-        { intentOf("lost"), access, "'lost'" },
-        { with(intentOf("retries"), { { "FILE", "x" } }), with(access, { { "add-node", "a" } }),
+        { intentOf("retries"), operatorAccess, "FILE" },
+        { intentOf("unknown"), operatorAccess, "'unknown'" },
+        { intentOf("lost"), operatorAccess, "'lost'" },
+        { with(intentOf("retries"), { { "FILE", "x" } }), with(operatorAccess, { { "add-node", "a" } }),
             "FILE only" },
-        { with(intentOf("leaving"), { { "FILE", "x" } }), with(access, { { "add-node", "a" } }), "not both" },
-        { with(intentOf("leaving"), {}), with(access, { { "lost-node", "a" } }), "FILE only" },
-        { with(intentOf("declare-lost"), {}), with(access, { { "add-node", "a" } }), "--lost-node" },
-        { with(intentOf("declare-lost"), { { "FILE", "x" } }), with(access, { { "lost-node", "a" } }),
+        { with(intentOf("leaving"), { { "FILE", "x" } }), with(operatorAccess, { { "add-node", "a" } }),
+            "not both" },
+        { with(intentOf("leaving"), {}), with(operatorAccess, { { "lost-node", "a" } }), "FILE only" },
+        { with(intentOf("declare-lost"), {}), with(operatorAccess, { { "add-node", "a" } }), "--lost-node" },
+        { with(intentOf("declare-lost"), { { "FILE", "x" } }), with(operatorAccess, { { "lost-node", "a" } }),
             "--lost-node" },
-        { confirm, with(access, { { "output", "json" } }), "--yes" },
-        { confirm, with(access, { { "output", "xml" } }), "'xml'" },
-        { confirm, with(access, { { "timeout-ms", "0" } }), "--timeout-ms" },
+        { confirm, with(operatorAccess, { { "output", "json" } }), "--yes" },
+        { confirm, with(operatorAccess, { { "output", "xml" } }), "'xml'" },
+        { confirm, with(operatorAccess, { { "timeout-ms", "0" } }), "--timeout-ms" },
         { confirm, {}, "--node" },
         { confirm, { { "node", "localhost:80" } }, "localhost" },
-        { { { "intent", "true" }, { "show", "true" }, { "ID", "../config" } }, access, "'../config'" },
-        { { { "history", "true" }, { "KIND", "x" } }, access, "'x'" },
+        { { { "intent", "true" }, { "show", "true" }, { "ID", "../config" } }, operatorAccess,
+            "'../config'" },
+        { { { "history", "true" }, { "KIND", "x" } }, operatorAccess, "'x'" },
         { { { "dump", "true" }, { "ADDRESS", "x" } }, {}, "'x'" },
     };
     for (const auto& [arguments, flags, named] : cases) {
@@ -63,7 +65,7 @@
         cr_assert(text.find("secret-token") == std::string::npos && text.find('\n') == std::string::npos);
     }
     unsetenv("WAGTAILHEAD_TOKEN");
-    const auto noToken = parseCtlOptions(Settings::fromMap(access, { { "status", "true" } }));
+    const auto noToken = parseCtlOptions(Settings::fromMap(operatorAccess, { { "status", "true" } }));
     cr_assert(!isOk(noToken) && errorOf(noToken).text_.find("WAGTAILHEAD_TOKEN") != std::string::npos);
 }
 
--- a/src/standins/libstandin/audit_log_test.cpp
+++ b/src/standins/libstandin/audit_log_test.cpp
@@ -38,8 +38,8 @@
 /// overwrites the file of the one before.
 Test(audit_log, file_has_every_begin_and_end)
 {
-    const auto path = std::filesystem::temp_directory_path()
-        / ("audit_log_test." + std::to_string(getpid()) + ".jsonl");
+    const auto path
+        = std::filesystem::temp_directory_path() / ("audit_log_test." + std::to_string(getpid()) + ".jsonl");
     const WallClock::time_point base { milliseconds(1'000) };
     for (int i = 0; i < 2; ++i) {
         AuditLog log;
