--- a/src/libctl/ctl_text.cpp
+++ b/src/libctl/ctl_text.cpp
@@ -22,6 +22,18 @@
     return found->is_string() ? found->get<std::string>() : found->dump();
 }
 
+/// Returns a field, or `fallback` if it is absent or of another type: a node of another version may
+/// answer differently.
+template <typename T> auto fieldOr(const Json& json, const char* field, T fallback) -> T
+{
+    const auto found = json.is_object() ? json.find(field) : json.end();
+    if (!json.is_object() || found == json.end()) {
+        return fallback;
+    }
+    const bool matches = std::is_same_v<T, bool> ? found->is_boolean() : found->is_number();
+    return matches ? found->template get<T>() : fallback;
+}
+
 /// Returns a list field, or an empty list.
 auto list(const Json& json, const char* field) -> Json
 {
@@ -103,7 +115,7 @@
         out << '\n';
         table.print(out);
     }
-    const auto total = plan.value("serverCount", servers.size());
+    const auto total = fieldOr(plan, "serverCount", servers.size());
     if (total > servers.size()) {
         out << "and " << total - servers.size() << " more\n";
     }
@@ -114,7 +126,7 @@
     TextTable table({ "CONFIGURATION", "GENERATION", "NODES", "LAGGING", "WHERE" });
     const auto config = object(status, "config");
     for (const auto& [kind, row] : config.items()) {
-        const auto spread = spreadOf(status, kind, row.value("generation", std::uint64_t { 0 }));
+        const auto spread = spreadOf(status, kind, fieldOr(row, "generation", std::uint64_t { 0 }));
         table.add({ kind, cell(row, "generation"), cell(row, "nodes"), cell(row, "lagging"), spread.where_ });
     }
     out << '\n';
@@ -126,7 +138,7 @@
     TextTable table({ "ZONE", "REGION", "REACHABLE", "NODES", "ANSWERED", "MISSING", "STORE", "UNKNOWN/10s",
         "UNKNOWN", "SILENT", "AGE MS" });
     for (const auto& row : list(status, "zones")) {
-        table.add({ cell(row, "zone"), cell(row, "region"), row.value("reachable", false) ? "yes" : "NO",
+        table.add({ cell(row, "zone"), cell(row, "region"), fieldOr(row, "reachable", false) ? "yes" : "NO",
             cell(row, "nodes"), cell(row, "answered"), cell(row, "missing"),
             row.contains("storeReachable") ? (row["storeReachable"] == true ? "yes" : "NO") : "-",
             counts(row, "unknownLast10s"), counts(row, "unknown"), cell(row, "silentConnections"),
@@ -142,7 +154,7 @@
     if (level.empty()) {
         return "-";
     }
-    const auto kept = level.value("keptShare", 1.0);
+    const auto kept = fieldOr(level, "keptShare", 1.0);
     const auto priority = cell(level, "priority");
     if (kept >= 1 && priority == "bulk") {
         return "none";
@@ -232,22 +244,22 @@
 {
     Spread spread;
     const auto row = object(object(status, "config"), kind.c_str());
-    spread.nodes_ = row.value("nodes", std::int64_t { 0 });
-    const auto highest = row.value("generation", std::uint64_t { 0 });
+    spread.nodes_ = fieldOr(row, "nodes", std::int64_t { 0 });
+    const auto highest = fieldOr(row, "generation", std::uint64_t { 0 });
     if (highest < generation) {
         spread.lagging_ = spread.nodes_;
         spread.where_ = "everywhere";
     } else {
         for (const auto& group : list(row, "laggingNodes")) {
-            if (group.value("generation", std::uint64_t { 0 }) >= generation) {
+            if (fieldOr(group, "generation", std::uint64_t { 0 }) >= generation) {
                 continue;
             }
-            spread.lagging_ += group.value("nodes", std::int64_t { 0 });
+            spread.lagging_ += fieldOr(group, "nodes", std::int64_t { 0 });
             spread.where_ += (spread.where_.empty() ? "" : ", ") + cell(group, "zone") + " "
                 + cell(group, "nodes") + " (" + joined(list(group, "named"), " ") + ")";
         }
     }
-    spread.missing_ = status.value("missingNodes", std::int64_t { 0 });
+    spread.missing_ = fieldOr(status, "missingNodes", std::int64_t { 0 });
     const auto unreachable = list(status, "unreachableZones");
     spread.unreachable_ = unreachable.empty() ? "" : joined(unreachable);
     return spread;
--- a/testsuite/run_all.py
+++ b/testsuite/run_all.py
@@ -10,7 +10,7 @@
 import sys
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-CASE_TIMEOUT_S = 300
+CASE_TIMEOUT_S = 1200
 
 
 def known_red():
