--- a/src/libledger/takeover_commit.cpp
+++ b/src/libledger/takeover_commit.cpp
@@ -202,11 +202,10 @@
     const auto isPresent = [&view](const NodeRef& member) {
         return view.members_.isPresent(member);
     };
-    if (sealed.empty() || std::any_of(sealed.begin(), sealed.end(), hasAccepted)) {
-        activate();
-    } else if (commitRounds_ < mostCommitRounds) {
+    const bool accepted = sealed.empty() || std::any_of(sealed.begin(), sealed.end(), hasAccepted);
+    if (!accepted && commitRounds_ < mostCommitRounds) {
         pause(Step::Committing, now);
-    } else if (std::any_of(sealed.begin(), sealed.end(), isPresent)) {
+    } else if (!accepted && std::any_of(sealed.begin(), sealed.end(), isPresent)) {
         stop("no member accepts the epoch");
     } else {
         activate();
--- a/src/libload/mesh_probe.cpp
+++ b/src/libload/mesh_probe.cpp
@@ -34,6 +34,7 @@
 auto addressesOf(const std::vector<MeshProcess>& processes) -> std::vector<Address>
 {
     std::vector<Address> addresses;
+    addresses.reserve(processes.size());
     for (const auto& process : processes) {
         addresses.push_back(process.http_);
     }
@@ -57,7 +58,9 @@
         const auto from = region.value("from", "");
         const auto to = region.value("to", "");
         if (from != to) {
-            bytes[from + ">" + to] = region.value("bytes", std::int64_t { 0 });
+            auto name = from;
+            name.append(">").append(to);
+            bytes[name] = region.value("bytes", std::int64_t { 0 });
         }
     }
     return bytes;
--- a/src/libnode/call_sender.cpp
+++ b/src/libnode/call_sender.cpp
@@ -290,12 +290,18 @@
 
 auto CallSender::budgetOf(const std::string& service) -> RetryBudget&
 {
+    const double share = parts_.config_.current()->retries_.budgetPercent_ / 100.0;
+    const RetryBudgetOptions options { share, RetryBudgetOptions {}.burst_ };
     const std::lock_guard lock(mutex_);
     auto& budget = budgets_[service];
     if (!budget) {
-        const double share = parts_.config_.current()->retries_.budgetPercent_ / 100.0;
-        budget = std::make_unique<RetryBudget>(RetryBudgetOptions { share, RetryBudgetOptions {}.burst_ });
+        budget = std::make_unique<RetryBudget>(options);
+    } else if (share != budgetShare_) {
+        for (auto& [name, known] : budgets_) {
+            known->configure(options);
+        }
     }
+    budgetShare_ = share;
     return *budget;
 }
 
--- a/src/libnode/call_sender.h
+++ b/src/libnode/call_sender.h
@@ -82,6 +82,7 @@
     CallSenderParts parts_;
     std::mutex mutex_;
     std::map<std::string, std::unique_ptr<RetryBudget>> budgets_;
+    double budgetShare_ = 0; ///< Of all budgets, from the `retries` configuration in force.
     std::atomic<std::uint64_t> attempts_ { 0 };
 };
 
