--- a/src/libnode/call_sender.cpp
+++ b/src/libnode/call_sender.cpp
@@ -293,15 +293,16 @@
     const double share = parts_.config_.current()->retries_.budgetPercent_ / 100.0;
     const RetryBudgetOptions options { share, RetryBudgetOptions {}.burst_ };
     const std::lock_guard lock(mutex_);
-    auto& budget = budgets_[service];
-    if (!budget) {
-        budget = std::make_unique<RetryBudget>(options);
-    } else if (share != budgetShare_) {
-        for (auto& [name, known] : budgets_) {
+    if (share != budgetShare_) {
+        for (const auto& [name, known] : budgets_) {
             known->configure(options);
         }
     }
     budgetShare_ = share;
+    auto& budget = budgets_[service];
+    if (!budget) {
+        budget = std::make_unique<RetryBudget>(options);
+    }
     return *budget;
 }
 
--- a/src/libnode/node_control.cpp
+++ b/src/libnode/node_control.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 NodeControl::NodeControl(NodeControlParts parts, std::uint64_t seed)
-    : parts_(std::move(parts))
+    : parts_(parts)
     , client_(parts_.storeHttp_, { parts_.settings_.store_, storeTimeout })
     , store_(client_)
     , collector_({ parts_.context_, parts_.members_, parts_.settings_.self_, parts_.settings_.zone_,
