test(standins): the answer lists the reasons of earlier attempts

Cause: the load tool needs the reasons of earlier attempts in the stand-in's answer, so the exact comparison of the whole answer failed. The expected answer now holds the new field and is as strict as before.

--- a/src/libnode/status_collector.cpp
+++ b/src/libnode/status_collector.cpp
@@ -33,6 +33,7 @@
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<const Member*> relays;
+    relays.reserve(ranked.size());
     for (const auto& [rank, member] : ranked) {
         relays.push_back(member);
     }
--- a/testsuite/standins/backend_test.py
+++ b/testsuite/standins/backend_test.py
@@ -166,6 +166,7 @@
         failed = backend.call("POST", "/orders", {})
         self.assertEqual(failed.status, 502)
         self.assertEqual(failed.json["subCalls"][0], {"call": "POST a:/x", "status": 503, "attempts": 3,
+                                                      "earlierReasons": ["", ""],
                                                       "outcome": "completed", "reason": ""})
         self.assertEqual(len(node.requests), 3)
         self.assertEqual(len({body for _, _, _, body in node.requests}), 1, "repeats must be equal")
