--- /dev/null
+++ b/src/include/wagtailhead/directory.h
@@ -0,0 +1,110 @@
+/// The nodes of a site and the backend servers beside them, and the choice of a node for a request.
+#pragma once
+
+#include "wagtailhead/clock.h"
+#include "wagtailhead/settings.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wagtailhead {
+
+enum class BackendPhase : std::uint8_t {
+    Unknown, ///< No report yet.
+    Ready,
+    Draining, ///< Finishes what it has and takes nothing new.
+    Gone,
+};
+
+/// Returns "unknown", "ready", "draining" or "gone".
+auto backendPhaseName(BackendPhase phase) -> const char*;
+auto parseBackendPhase(std::string_view name) -> std::optional<BackendPhase>;
+
+/// What a node publishes about itself. Only the node itself writes its entry.
+struct NodeEntry {
+    std::string node_;
+    std::string zone_;
+    std::string region_;
+    std::string service_; ///< Of the backend server beside the node.
+    Address link_; ///< Where other nodes reach it.
+    int capacity_ = 0; ///< Requests that the backend server runs at once; 0 if not known.
+    std::string backendId_; ///< Empty before the first report.
+    std::uint64_t backendBornMs_ = 0; ///< Start of the backend server, Unix time.
+    BackendPhase phase_ = BackendPhase::Unknown;
+    std::uint64_t generation_ = 0; ///< Grows with each change of the entry.
+
+    auto operator==(const NodeEntry&) const -> bool = default;
+};
+
+/// The load of a backend server as its node measures it.
+struct GateLoad {
+    int running_ = 0;
+    int queued_ = 0;
+    int limit_ = 0;
+};
+
+struct DirectoryOptions {
+    std::string node_;
+    std::string zone_;
+    std::string region_;
+    std::uint64_t seed_ = 0;
+};
+
+/// Knows all nodes and what this node has measured about them. Not thread safe.
+class Directory {
+public:
+    explicit Directory(DirectoryOptions options);
+
+    /// Takes an entry unless a newer generation is known. Returns whether anything changed.
+    auto apply(const NodeEntry& entry) -> bool;
+    auto remove(const std::string& node) -> void;
+
+    auto find(const std::string& node) const -> const NodeEntry*;
+    auto entries() const -> std::vector<NodeEntry>;
+    auto size() const -> std::size_t
+    {
+        return nodes_.size();
+    }
+    /// Returns whether any node has a backend server of this service.
+    auto serves(std::string_view service) const -> bool;
+
+    /// Picks the node for the next attempt, or nothing. Prefers the own zone, then the own region, by the
+    /// share of the backend server's capacity in use.
+    auto pick(std::string_view service, const std::vector<std::string>& tried, TimePoint now)
+        -> std::optional<NodeEntry>;
+
+    /// Counts a request that is sent to a node and, with `ended`, one that has ended there.
+    auto started(const std::string& node) -> void;
+    auto ended(const std::string& node) -> void;
+
+    auto onLoad(const std::string& node, const GateLoad& load) -> void;
+    /// The node or its backend server did not take a request: it is avoided for a growing time.
+    auto onUnavailable(const std::string& node, TimePoint now) -> void;
+    /// The backend server beside the node failed a request; counts towards avoiding it.
+    auto onFailure(const std::string& node, TimePoint now) -> void;
+    auto onSuccess(const std::string& node) -> void;
+
+private:
+    struct Known {
+        NodeEntry entry_;
+        GateLoad load_;
+        int inFlight_ = 0; ///< From this node.
+        int inFlightAtReport_ = 0;
+        int failures_ = 0; ///< In a row.
+        double failureShare_ = 0; ///< Moving share of failed requests.
+        TimePoint avoidUntil_;
+    };
+
+    auto score(const Known& known) -> double;
+
+    DirectoryOptions options_;
+    std::map<std::string, Known> nodes_;
+    std::mt19937_64 random_;
+};
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/include/wagtailhead/sidecar.h
@@ -0,0 +1,76 @@
+/// The process in the slot of a backend server VM that serves callers and guards the backend server.
+#pragma once
+
+#include "wagtailhead/backend_reports.h"
+#include "wagtailhead/object_store.h"
+#include "wagtailhead/result.h"
+#include "wagtailhead/settings.h"
+#include "wagtailhead/site_configuration.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace asio {
+class io_context;
+}
+
+namespace wagtailhead {
+
+struct SidecarSettings {
+    std::string node_;
+    std::string zone_;
+    std::string region_;
+    std::string service_; ///< Of the backend server beside the node.
+    Address backend_;
+    Address callers_; ///< Callers of this VM and the backend server's own calls.
+    Address link_; ///< Other nodes.
+    Address readiness_; ///< Readiness checks, metrics and the state dump.
+    Address reports_; ///< Reports of the backend server.
+    Address store_;
+    bool firstStart_ = false; ///< The whole site starts for the first time.
+    double retryShare_ = 0.1; ///< Extra arrivals for each first one, over all nodes.
+    double retryBurst_ = 10; ///< Extra arrivals beyond the share, over all nodes.
+    Duration stopTime_ = seconds(6); ///< From SIGTERM to SIGKILL.
+    std::uint64_t seed_ = 0; ///< Of all random choices.
+};
+
+struct HeaderNames;
+
+namespace http1 {
+    struct Request;
+    struct Response;
+    class Pool;
+}
+
+/// A report call of the backend server that names something else, or whose content cannot be read.
+struct ReportError {
+    int status_ = 400;
+    std::string text_;
+};
+
+/// What the platform's interface looks like. Each function translates and decides nothing.
+struct PlatformInterface {
+    std::string configurationKind_;
+    std::string configurationName_;
+    std::string readinessPath_;
+    std::function<Result<SiteConfigurationPtr>(const std::string& text)> decodeConfiguration_;
+    std::function<std::variant<BackendReport, ReportError>(const http1::Request& request)> decodeReport_;
+    std::function<http1::Response()> reportAnswer_;
+    std::function<std::unique_ptr<ObjectStore>(asio::io_context& context, const Address& address)> openStore_;
+};
+
+/// One process. Not thread safe: everything runs in the thread that calls run().
+class Sidecar {
+public:
+    static auto start(SidecarSettings settings, PlatformInterface platform, const HeaderNames& headers)
+        -> Result<std::unique_ptr<Sidecar>>;
+
+    virtual ~Sidecar() = default;
+
+    /// Serves until a stop signal has been handled.
+    virtual auto run() -> void = 0;
+};
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libhttp1/http1_connection.h
@@ -0,0 +1,64 @@
+/// One connection of a caller.
+#pragma once
+
+#include "http1_listener.h"
+
+#include <array>
+
+namespace wagtailhead::http1 {
+
+/// What the connections of a listener share.
+struct ListenerState {
+    ListenerLimits limits_;
+    Listener::Handler handler_;
+    bool closing_ = false;
+    std::unordered_set<std::shared_ptr<Connection>> connections_;
+    /// Each read is handled at once, so one buffer serves all connections.
+    std::array<char, 65536> buffer_ {};
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+public:
+    Connection(asio::ip::tcp::socket socket, std::shared_ptr<ListenerState> listener);
+
+    auto start() -> void;
+    auto respond(Response response) -> void;
+    auto onGone(std::function<void()> handler) -> void;
+    /// Closes the connection if a time limit has passed.
+    auto checkTime(TimePoint now) -> void;
+    auto closeIfIdle() -> void;
+
+private:
+    enum class Phase {
+        Reading, ///< Waits for a request or reads one.
+        Running, ///< The handler has the request.
+        Writing,
+        Lingering, ///< The last response is sent; the caller closes first, so that nothing is reset.
+        Closed,
+    };
+
+    auto waitReadable() -> void;
+    auto onReadable() -> void;
+    auto take(std::string_view bytes) -> void;
+    auto dispatch() -> void;
+    auto refuse(int status) -> void;
+    auto write() -> void;
+    auto afterWrite() -> void;
+    auto linger() -> void;
+    auto callerGone() -> void;
+    auto close() -> void;
+
+    asio::ip::tcp::socket socket_;
+    std::shared_ptr<ListenerState> listener_;
+    MessageReader reader_ { MessageReader::Kind::Requests };
+    Phase phase_ = Phase::Reading;
+    std::string pending_; ///< Bytes behind the present request.
+    std::string output_;
+    std::function<void()> goneHandler_;
+    TimePoint phaseStart_ = Clock::now();
+    bool waiting_ = false;
+    bool keepAlive_ = true;
+    bool toHead_ = false;
+};
+
+} // namespace wagtailhead::http1
--- /dev/null
+++ b/src/libhttp1/http1_listener.cpp
@@ -0,0 +1,139 @@
+#include "http1_listener.h"
+
+#include "http1_connection.h"
+#include "socket_options.h"
+#include "wagtailhead/log.h"
+
+#include <vector>
+
+namespace wagtailhead::http1 {
+
+namespace {
+
+constexpr int backlog = 1024;
+
+class AsioListener final : public Listener, public std::enable_shared_from_this<AsioListener> {
+public:
+    AsioListener(asio::io_context& context, ListenerLimits limits, Handler handler)
+        : acceptor_(context)
+        , state_(std::make_shared<ListenerState>())
+    {
+        state_->limits_ = limits;
+        state_->handler_ = std::move(handler);
+    }
+
+    auto listen(const Address& address) -> Result<Done>;
+    auto accept() -> void;
+    auto setLimits(ListenerLimits limits) -> void override
+    {
+        state_->limits_ = limits;
+    }
+    auto tick(TimePoint now) -> void override;
+    auto startClosing() -> void override
+    {
+        state_->closing_ = true;
+    }
+    auto stop() -> void override;
+    auto connectionCount() const -> std::size_t override
+    {
+        return state_->connections_.size();
+    }
+
+private:
+    auto snapshot() const -> std::vector<std::shared_ptr<Connection>>
+    {
+        return { state_->connections_.begin(), state_->connections_.end() };
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    std::shared_ptr<ListenerState> state_;
+};
+
+auto AsioListener::listen(const Address& address) -> Result<Done>
+{
+    asio::error_code error;
+    const auto endpoint = endpointOf(address);
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error) {
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor_.listen(backlog, error);
+    }
+    if (error) {
+        return Error { ErrorCode::Unavailable, "cannot listen on " + address.text() + ": " + error.message() };
+    }
+    return Done {};
+}
+
+auto AsioListener::accept() -> void
+{
+    acceptor_.async_accept(
+        [self = shared_from_this()](const asio::error_code& error, asio::ip::tcp::socket socket) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (error) {
+                logEvent(LogLevel::Warning, "accept_failed", { { "error", error.message() } });
+            } else {
+                setPathOptions(socket);
+                asio::error_code ignored; // A socket that stays blocking would fail on its first read.
+                socket.non_blocking(true, ignored);
+                auto connection = std::make_shared<Connection>(std::move(socket), self->state_);
+                self->state_->connections_.insert(connection);
+                connection->start();
+            }
+            self->accept();
+        });
+}
+
+auto AsioListener::tick(TimePoint now) -> void
+{
+    for (const auto& connection : snapshot()) {
+        connection->checkTime(now);
+    }
+}
+
+auto AsioListener::stop() -> void
+{
+    asio::error_code ignored; // The socket is gone either way.
+    acceptor_.close(ignored);
+    state_->closing_ = true;
+    for (const auto& connection : snapshot()) {
+        connection->closeIfIdle();
+    }
+}
+
+} // namespace
+
+Exchange::Exchange(std::shared_ptr<Connection> connection)
+    : connection_(std::move(connection))
+{
+}
+
+auto Exchange::respond(Response response) -> void
+{
+    connection_->respond(std::move(response));
+}
+
+auto Exchange::onGone(std::function<void()> handler) -> void
+{
+    connection_->onGone(std::move(handler));
+}
+
+auto Listener::open(asio::io_context& context, const Address& address, ListenerLimits limits, Handler handler)
+    -> Result<std::shared_ptr<Listener>>
+{
+    auto listener = std::make_shared<AsioListener>(context, limits, std::move(handler));
+    auto listening = listener->listen(address);
+    if (!isOk(listening)) {
+        return errorOf(listening);
+    }
+    listener->accept();
+    return std::shared_ptr<Listener>(listener);
+}
+
+} // namespace wagtailhead::http1
--- /dev/null
+++ b/src/libhttp1/http1_listener.h
@@ -0,0 +1,65 @@
+/// HTTP/1.1 server for callers: whole requests in, whole responses out.
+#pragma once
+
+#include "http1_reader.h"
+#include "wagtailhead/clock.h"
+#include "wagtailhead/settings.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+namespace wagtailhead::http1 {
+
+class Connection;
+
+struct ListenerLimits {
+    ReadLimits read_;
+    Duration headerTimeout_ = seconds(10); ///< From the first byte of a request to its last.
+    Duration idleTimeout_ = seconds(60); ///< Between requests.
+};
+
+/// The caller's side of one request. Answer exactly once.
+class Exchange {
+public:
+    explicit Exchange(std::shared_ptr<Connection> connection);
+
+    /// Sends the response. Does nothing if the caller has gone.
+    auto respond(Response response) -> void;
+
+    /// Runs `handler` once if the caller closes the connection before the response.
+    auto onGone(std::function<void()> handler) -> void;
+
+private:
+    std::shared_ptr<Connection> connection_;
+};
+
+/// Accepts connections and reads requests. All members and callbacks run in the context's single thread.
+class Listener {
+public:
+    using Handler = std::function<void(Request request, std::shared_ptr<Exchange> exchange)>;
+
+    /// Opens the listening socket. The context must outlive the listener.
+    static auto open(asio::io_context& context, const Address& address, ListenerLimits limits, Handler handler)
+        -> Result<std::shared_ptr<Listener>>;
+
+    virtual ~Listener() = default;
+
+    /// Applies to requests that start from now on.
+    virtual auto setLimits(ListenerLimits limits) -> void = 0;
+
+    /// Closes connections whose time is over. Call it every few hundred milliseconds.
+    virtual auto tick(TimePoint now) -> void = 0;
+
+    /// Marks each further response with `Connection: close`.
+    virtual auto startClosing() -> void = 0;
+
+    /// Closes the listening socket and idle connections.
+    virtual auto stop() -> void = 0;
+
+    virtual auto connectionCount() const -> std::size_t = 0;
+};
+
+} // namespace wagtailhead::http1
--- /dev/null
+++ b/src/libhttp1/http1_message.cpp
@@ -0,0 +1,51 @@
+#include "http1_message.h"
+
+#include <http_parser.h>
+
+namespace wagtailhead::http1 {
+
+namespace {
+
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+} // namespace
+
+auto reasonPhrase(int status) -> const char*
+{
+    const auto* text = http_status_str(static_cast<http_status>(status));
+    return text != nullptr && *text != '<' ? text : "Status";
+}
+
+auto appendRequest(std::string& out, const Request& request) -> void
+{
+    out.append(request.method_).append(" ").append(request.target_).append(" HTTP/1.1\r\n");
+    out.append(request.headers_.lines());
+    const bool mayLackBody = request.method_ == "GET" || request.method_ == "HEAD" || request.method_ == "DELETE";
+    if (!request.body_.empty() || !mayLackBody) {
+        out.append("Content-Length: ").append(std::to_string(request.body_.size())).append("\r\n");
+    }
+    if (!request.keepAlive_) {
+        out.append("Connection: close\r\n");
+    }
+    out.append("\r\n").append(request.body_);
+}
+
+auto appendResponse(std::string& out, const Response& response, bool toHead) -> void
+{
+    out.append("HTTP/1.1 ").append(std::to_string(response.status_)).append(" ");
+    out.append(reasonPhrase(response.status_)).append("\r\n").append(response.headers_.lines());
+    const bool bodiless = response.status_ == statusNoContent || response.status_ == statusNotModified;
+    if (!bodiless) {
+        out.append("Content-Length: ").append(std::to_string(response.body_.size())).append("\r\n");
+    }
+    if (!response.keepAlive_) {
+        out.append("Connection: close\r\n");
+    }
+    out.append("\r\n");
+    if (!bodiless && !toHead) {
+        out.append(response.body_);
+    }
+}
+
+} // namespace wagtailhead::http1
--- /dev/null
+++ b/src/libhttp1/http1_message.h
@@ -0,0 +1,36 @@
+/// Messages of HTTP/1.1 as the nodes pass them on.
+#pragma once
+
+#include "wagtailhead/header_block.h"
+
+#include <string>
+
+namespace wagtailhead::http1 {
+
+struct Request {
+    std::string method_;
+    std::string target_; ///< Path and query as received.
+    HeaderBlock headers_;
+    std::string body_;
+    bool keepAlive_ = true;
+};
+
+struct Response {
+    int status_ = 0;
+    HeaderBlock headers_;
+    std::string body_;
+    bool keepAlive_ = true;
+};
+
+/// Returns the reason phrase of a status, or "Status".
+auto reasonPhrase(int status) -> const char*;
+
+/// Appends the request as text, with Content-Length if it has a body. Sets `Connection: close` if the
+/// request is not `keepAlive_`.
+auto appendRequest(std::string& out, const Request& request) -> void;
+
+/// Appends the response as text, with Content-Length. Adds `Connection: close` if it is not `keepAlive_`.
+/// The body is left out for answers to HEAD.
+auto appendResponse(std::string& out, const Response& response, bool toHead) -> void;
+
+} // namespace wagtailhead::http1
--- /dev/null
+++ b/src/libhttp1/http1_pool.cpp
@@ -0,0 +1,508 @@
+#include "http1_pool.h"
+
+#include "socket_options.h"
+
+#include <array>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace wagtailhead::http1 {
+
+namespace {
+
+/// Returns the idle limit that a server names (`Keep-Alive: timeout=N`), or nothing.
+auto namedIdleLimit(const Response& response) -> std::optional<Duration>
+{
+    constexpr std::string_view key = "timeout=";
+    const auto value = response.headers_.find("Keep-Alive");
+    const auto at = value.find(key);
+    int limit = 0;
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = value.substr(at + key.size());
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), limit).ec != std::errc {}) {
+        return std::nullopt;
+    }
+    return seconds(limit);
+}
+
+class AsioPool;
+
+/// One connection to the server: idle, or busy with one call.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+public:
+    ClientConnection(asio::io_context& context, AsioPool& pool)
+        : socket_(context)
+        , pool_(&pool)
+    {
+    }
+
+    auto connect(const Address& server, Duration timeout) -> void;
+    auto begin(Pool::CallId id, PoolCall call) -> void;
+    auto checkTime(TimePoint now) -> void;
+    auto close() -> void;
+    /// Ends the call without its callback.
+    auto abandon() -> void;
+    auto detach() -> void
+    {
+        pool_ = nullptr;
+    }
+    auto idleSince() const -> TimePoint
+    {
+        return idleSince_;
+    }
+    auto idleLimit() const -> Duration
+    {
+        return idleLimit_;
+    }
+
+private:
+    auto onConnected(const asio::error_code& error) -> void;
+    auto sendRequest() -> void;
+    auto waitReadable() -> void;
+    auto onReadable() -> void;
+    auto take(std::string_view bytes) -> void;
+    auto complete(bool bytesLeft) -> void;
+    auto fail(Failure failure) -> void;
+    auto finishCall(CallResult result) -> void;
+
+    asio::ip::tcp::socket socket_;
+    AsioPool* pool_; ///< Null after the pool has gone.
+    MessageReader reader_ { MessageReader::Kind::Responses };
+    std::string output_;
+    std::optional<PoolCall> call_;
+    Pool::CallId callId_ = 0;
+    TimePoint callDeadline_;
+    TimePoint connectDeadline_;
+    TimePoint idleSince_;
+    Duration idleLimit_ {};
+    bool connected_ = false;
+    bool writing_ = false;
+    bool waiting_ = false;
+    bool closed_ = false;
+};
+
+class AsioPool final : public Pool {
+public:
+    AsioPool(asio::io_context& context, PoolOptions options)
+        : context_(context)
+        , options_(std::move(options))
+    {
+        reader_.fill(0);
+    }
+    ~AsioPool() override;
+    AsioPool(const AsioPool&) = delete;
+    auto operator=(const AsioPool&) -> AsioPool& = delete;
+
+    auto send(PoolCall call) -> CallId override;
+    auto cancel(CallId id) -> void override;
+    auto tick(TimePoint now) -> void override;
+    auto setServer(const Address& server) -> void override;
+    auto setMaxConnections(std::size_t count) -> void override
+    {
+        options_.maxConnections_ = count;
+    }
+    auto stats() const -> PoolStats override;
+
+    auto buffer() -> std::array<char, 65536>&
+    {
+        return reader_;
+    }
+    auto options() const -> const PoolOptions&
+    {
+        return options_;
+    }
+    auto onClosed(const std::shared_ptr<ClientConnection>& connection, CallId id, bool lostCall) -> void;
+    auto onIdle(const std::shared_ptr<ClientConnection>& connection, CallId id) -> void;
+    auto forget(CallId id) -> void
+    {
+        running_.erase(id);
+    }
+
+private:
+    auto takeIdle(Duration maxIdle) -> std::shared_ptr<ClientConnection>;
+    auto startWaiting() -> void;
+    auto closeIdle(TimePoint now) -> void;
+
+    struct WaitingCall {
+        CallId id_ = 0;
+        PoolCall call_;
+        TimePoint deadline_;
+    };
+
+    asio::io_context& context_;
+    PoolOptions options_;
+    std::array<char, 65536> reader_ {};
+    std::unordered_map<CallId, std::shared_ptr<ClientConnection>> running_;
+    std::vector<std::shared_ptr<ClientConnection>> idle_; ///< The last used one is at the end.
+    std::deque<WaitingCall> waiting_;
+    CallId lastId_ = 0;
+    PoolStats stats_;
+};
+
+auto ClientConnection::connect(const Address& server, Duration timeout) -> void
+{
+    connectDeadline_ = Clock::now() + timeout;
+    socket_.async_connect(endpointOf(server), [self = shared_from_this()](const asio::error_code& error) {
+        self->onConnected(error);
+    });
+}
+
+auto ClientConnection::onConnected(const asio::error_code& error) -> void
+{
+    if (closed_) {
+        return;
+    }
+    if (error) {
+        fail(Failure::NotSent);
+        return;
+    }
+    connected_ = true;
+    setPathOptions(socket_);
+    asio::error_code ignored; // A socket that stays blocking would fail on its first read.
+    socket_.non_blocking(true, ignored);
+    if (call_) {
+        sendRequest();
+    }
+}
+
+auto ClientConnection::begin(Pool::CallId id, PoolCall call) -> void
+{
+    callId_ = id;
+    callDeadline_ = Clock::now() + std::min<Duration>(call.timeout_, std::chrono::hours(1));
+    call_ = std::move(call);
+    if (connected_) {
+        sendRequest();
+    }
+}
+
+auto ClientConnection::sendRequest() -> void
+{
+    reader_.reset(call_->request_.method_ == "HEAD");
+    reader_.setLimits({ pool_->options().maxResponseBytes_, pool_->options().maxResponseBytes_ });
+    output_.clear();
+    appendRequest(output_, call_->request_);
+    call_->request_ = {};
+    waitReadable();
+    asio::error_code error;
+    const auto size = socket_.write_some(asio::buffer(output_), error);
+    if (!error && size == output_.size()) {
+        output_ = {};
+        return;
+    }
+    if (error && error != asio::error::would_block && error != asio::error::try_again) {
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            self->fail(Failure::Lost);
+        });
+        return;
+    }
+    writing_ = true;
+    asio::async_write(socket_, asio::buffer(output_.data() + size, output_.size() - size),
+        [self = shared_from_this()](const asio::error_code& failed, std::size_t) {
+            self->writing_ = false;
+            self->output_ = {};
+            if (failed) {
+                // An early response may still be there to read; the read side reports the loss.
+                self->waitReadable();
+            }
+        });
+}
+
+auto ClientConnection::waitReadable() -> void
+{
+    if (waiting_ || closed_) {
+        return;
+    }
+    waiting_ = true;
+    socket_.async_wait(
+        asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code& error) {
+            self->waiting_ = false;
+            if (!error) {
+                self->onReadable();
+            }
+        });
+}
+
+auto ClientConnection::onReadable() -> void
+{
+    if (closed_ || pool_ == nullptr) {
+        return;
+    }
+    asio::error_code error;
+    const auto size = socket_.read_some(asio::buffer(pool_->buffer()), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+        waitReadable();
+        return;
+    }
+    if (error == asio::error::eof && call_) {
+        reader_.finish();
+        if (reader_.state() == ReadState::Complete) {
+            complete(true);
+            return;
+        }
+    }
+    if (error || !call_) {
+        // Bytes on an idle connection belong to no request.
+        fail(Failure::Lost);
+        return;
+    }
+    take({ pool_->buffer().data(), size });
+}
+
+auto ClientConnection::take(std::string_view bytes) -> void
+{
+    const auto used = reader_.feed(bytes);
+    switch (reader_.state()) {
+    case ReadState::Complete:
+        complete(used < bytes.size());
+        return;
+    case ReadState::Malformed:
+    case ReadState::HeadersTooLarge:
+    case ReadState::BodyTooLarge:
+        fail(Failure::Malformed);
+        return;
+    default:
+        waitReadable();
+    }
+}
+
+auto ClientConnection::complete(bool bytesLeft) -> void
+{
+    auto response = reader_.takeResponse();
+    // A response that came before the request was sent leaves the rest of the request due.
+    const bool reusable = response.keepAlive_ && !bytesLeft && !writing_;
+    const auto named = namedIdleLimit(response);
+    idleLimit_ = named ? std::max(*named - pool_->options().idleMargin_, Duration::zero())
+                       : pool_->options().idleLimit_;
+    const auto self = shared_from_this();
+    auto done = std::move(call_->done_);
+    call_.reset();
+    if (reusable) {
+        idleSince_ = Clock::now();
+        waitReadable();
+        pool_->onIdle(self, callId_);
+    } else {
+        close();
+        pool_->onClosed(self, callId_, false);
+    }
+    done(std::move(response));
+}
+
+auto ClientConnection::fail(Failure failure) -> void
+{
+    if (closed_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    close();
+    const bool hadCall = call_.has_value();
+    auto done = hadCall ? std::move(call_->done_) : nullptr;
+    call_.reset();
+    if (pool_ != nullptr) {
+        pool_->onClosed(self, callId_, hadCall);
+    }
+    if (done) {
+        done(failure);
+    }
+}
+
+auto ClientConnection::checkTime(TimePoint now) -> void
+{
+    if (!connected_ && now > connectDeadline_) {
+        fail(Failure::NotSent);
+    } else if (call_ && now > callDeadline_) {
+        fail(connected_ ? Failure::Timeout : Failure::NotSent);
+    }
+}
+
+auto ClientConnection::close() -> void
+{
+    closed_ = true;
+    asio::error_code ignored; // Nothing is left to do with the socket.
+    socket_.close(ignored);
+}
+
+auto ClientConnection::abandon() -> void
+{
+    call_.reset();
+    close();
+}
+
+AsioPool::~AsioPool()
+{
+    for (const auto& [id, connection] : running_) {
+        connection->detach();
+        connection->abandon();
+    }
+    for (const auto& connection : idle_) {
+        connection->detach();
+        connection->abandon();
+    }
+}
+
+auto AsioPool::takeIdle(Duration maxIdle) -> std::shared_ptr<ClientConnection>
+{
+    if (idle_.empty()) {
+        return nullptr;
+    }
+    const auto idleTime = Clock::now() - idle_.back()->idleSince();
+    if (idleTime > maxIdle || idleTime > idle_.back()->idleLimit()) {
+        return nullptr; // The others have been idle for longer.
+    }
+    auto connection = idle_.back();
+    idle_.pop_back();
+    return connection;
+}
+
+auto AsioPool::send(PoolCall call) -> CallId
+{
+    const auto id = ++lastId_;
+    if (auto connection = takeIdle(call.maxIdle_)) {
+        ++stats_.reused_;
+        running_[id] = connection;
+        connection->begin(id, std::move(call));
+        return id;
+    }
+    if (running_.size() >= options_.maxConnections_) {
+        const auto deadline = Clock::now() + std::min<Duration>(call.timeout_, std::chrono::hours(1));
+        waiting_.push_back({ id, std::move(call), deadline });
+        return id;
+    }
+    if (running_.size() + idle_.size() >= options_.maxConnections_ && !idle_.empty()) {
+        idle_.front()->abandon();
+        idle_.erase(idle_.begin());
+    }
+    auto connection = std::make_shared<ClientConnection>(context_, *this);
+    ++stats_.opened_;
+    running_[id] = connection;
+    connection->connect(options_.server_, options_.connectTimeout_);
+    connection->begin(id, std::move(call));
+    return id;
+}
+
+auto AsioPool::cancel(CallId id) -> void
+{
+    const auto found = running_.find(id);
+    if (found != running_.end()) {
+        found->second->abandon();
+        running_.erase(found);
+        startWaiting();
+        return;
+    }
+    for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+        if (it->id_ == id) {
+            waiting_.erase(it);
+            return;
+        }
+    }
+}
+
+auto AsioPool::startWaiting() -> void
+{
+    if (waiting_.empty() || running_.size() >= options_.maxConnections_) {
+        return;
+    }
+    auto next = std::move(waiting_.front());
+    waiting_.pop_front();
+    auto connection = takeIdle(next.call_.maxIdle_);
+    if (!connection) {
+        connection = std::make_shared<ClientConnection>(context_, *this);
+        ++stats_.opened_;
+        connection->connect(options_.server_, options_.connectTimeout_);
+    }
+    running_[next.id_] = connection;
+    connection->begin(next.id_, std::move(next.call_));
+}
+
+auto AsioPool::onClosed(const std::shared_ptr<ClientConnection>& connection, CallId id, bool lostCall) -> void
+{
+    stats_.lost_ += lostCall ? 1 : 0;
+    const auto found = running_.find(id);
+    if (found != running_.end() && found->second == connection) {
+        running_.erase(found);
+    }
+    std::erase(idle_, connection);
+    startWaiting();
+}
+
+auto AsioPool::onIdle(const std::shared_ptr<ClientConnection>& connection, CallId id) -> void
+{
+    running_.erase(id);
+    idle_.push_back(connection);
+    startWaiting();
+}
+
+auto AsioPool::tick(TimePoint now) -> void
+{
+    std::vector<std::shared_ptr<ClientConnection>> connections;
+    connections.reserve(running_.size());
+    for (const auto& [id, connection] : running_) {
+        connections.push_back(connection);
+    }
+    for (const auto& connection : connections) {
+        connection->checkTime(now);
+    }
+    std::vector<WaitingCall> expired;
+    while (!waiting_.empty() && waiting_.front().deadline_ < now) {
+        expired.push_back(std::move(waiting_.front()));
+        waiting_.pop_front();
+    }
+    for (auto& call : expired) {
+        call.call_.done_(Failure::NotSent);
+    }
+    closeIdle(now);
+}
+
+auto AsioPool::closeIdle(TimePoint now) -> void
+{
+    while (!idle_.empty() && now - idle_.front()->idleSince() > idle_.front()->idleLimit()) {
+        idle_.front()->abandon();
+        idle_.erase(idle_.begin());
+    }
+}
+
+auto AsioPool::setServer(const Address& server) -> void
+{
+    options_.server_ = server;
+    for (const auto& connection : idle_) {
+        connection->abandon();
+    }
+    idle_.clear();
+}
+
+auto AsioPool::stats() const -> PoolStats
+{
+    auto stats = stats_;
+    stats.idle_ = idle_.size();
+    stats.open_ = idle_.size() + running_.size();
+    return stats;
+}
+
+} // namespace
+
+auto failureName(Failure failure) -> const char*
+{
+    switch (failure) {
+    case Failure::NotSent:
+        return "not-sent";
+    case Failure::Lost:
+        return "lost";
+    case Failure::Malformed:
+        return "malformed";
+    case Failure::Timeout:
+        return "timeout";
+    }
+    return "lost";
+}
+
+auto Pool::create(asio::io_context& context, PoolOptions options) -> std::shared_ptr<Pool>
+{
+    return std::make_shared<AsioPool>(context, std::move(options));
+}
+
+} // namespace wagtailhead::http1
--- /dev/null
+++ b/src/libhttp1/http1_reader.cpp
@@ -0,0 +1,195 @@
+#include "http1_reader.h"
+
+namespace wagtailhead::http1 {
+
+namespace {
+
+auto readerOf(http_parser* parser) -> MessageReader*
+{
+    return static_cast<MessageReader*>(parser->data);
+}
+
+/// A callback's result that stops the parser.
+constexpr int stopParsing = -1;
+
+} // namespace
+
+MessageReader::MessageReader(Kind kind)
+    : kind_(kind)
+{
+    reset();
+}
+
+auto MessageReader::callbacks() -> const http_parser_settings&
+{
+    static const auto settings = [] {
+        http_parser_settings made {};
+        http_parser_settings_init(&made);
+        made.on_url = [](http_parser* parser, const char* at, std::size_t size) {
+            readerOf(parser)->target_.append(at, size);
+            return readerOf(parser)->countHeaderBytes(size);
+        };
+        made.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
+            return readerOf(parser)->onField({ at, size });
+        };
+        made.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
+            return readerOf(parser)->onValue({ at, size });
+        };
+        made.on_headers_complete = [](http_parser* parser) {
+            return readerOf(parser)->onHeaders();
+        };
+        made.on_body = [](http_parser* parser, const char* at, std::size_t size) {
+            return readerOf(parser)->onBody({ at, size });
+        };
+        made.on_message_complete = [](http_parser* parser) {
+            return readerOf(parser)->onComplete();
+        };
+        return made;
+    }();
+    return settings;
+}
+
+auto MessageReader::reset(bool toHead) -> void
+{
+    http_parser_init(&parser_, kind_ == Kind::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+    state_ = ReadState::Empty;
+    target_.clear();
+    lines_.clear();
+    body_.clear();
+    headerBytes_ = 0;
+    inValue_ = inField_ = inTrailer_ = false;
+    toHead_ = toHead;
+}
+
+auto MessageReader::feed(std::string_view bytes) -> std::size_t
+{
+    if (bytes.empty() || state_ >= ReadState::Complete) {
+        return 0;
+    }
+    if (state_ == ReadState::Empty) {
+        state_ = ReadState::Headers;
+    }
+    const auto used = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&parser_);
+    if (error == HPE_HEADER_OVERFLOW) {
+        state_ = ReadState::HeadersTooLarge;
+    } else if (error != HPE_OK && error != HPE_PAUSED && state_ < ReadState::Complete) {
+        state_ = ReadState::Malformed;
+    }
+    return used;
+}
+
+auto MessageReader::finish() -> void
+{
+    if (state_ == ReadState::Body) {
+        http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+    }
+}
+
+auto MessageReader::countHeaderBytes(std::size_t bytes) -> int
+{
+    headerBytes_ += bytes;
+    if (headerBytes_ > limits_.headerBytes_) {
+        state_ = ReadState::HeadersTooLarge;
+        return stopParsing;
+    }
+    return 0;
+}
+
+auto MessageReader::endField() -> void
+{
+    if (inField_) {
+        if (!inValue_) {
+            lines_.append(": ");
+        }
+        lines_.append("\r\n");
+    }
+    inField_ = inValue_ = false;
+}
+
+auto MessageReader::onField(std::string_view part) -> int
+{
+    if (inTrailer_) {
+        return 0; // Trailers are not passed on.
+    }
+    if (inValue_ || !inField_) {
+        endField();
+        inField_ = true;
+    }
+    lines_.append(part);
+    return countHeaderBytes(part.size());
+}
+
+auto MessageReader::onValue(std::string_view part) -> int
+{
+    if (inTrailer_) {
+        return 0;
+    }
+    if (!inValue_) {
+        lines_.append(": ");
+        inValue_ = true;
+    }
+    lines_.append(part);
+    return countHeaderBytes(part.size());
+}
+
+auto MessageReader::onHeaders() -> int
+{
+    endField();
+    inTrailer_ = true;
+    state_ = ReadState::Body;
+    if (parser_.upgrade != 0) {
+        parser_.upgrade = 0; // No other protocol is offered.
+    }
+    constexpr int noBody = 1;
+    return toHead_ ? noBody : 0;
+}
+
+auto MessageReader::onBody(std::string_view part) -> int
+{
+    if (body_.size() + part.size() > limits_.bodyBytes_) {
+        state_ = ReadState::BodyTooLarge;
+        return stopParsing;
+    }
+    body_.append(part);
+    return 0;
+}
+
+auto MessageReader::onComplete() -> int
+{
+    constexpr int informationalEnd = 200;
+    if (kind_ == Kind::Responses && parser_.status_code < informationalEnd) {
+        lines_.clear(); // An interim response; the final one follows.
+        inTrailer_ = false;
+        state_ = ReadState::Headers;
+        return 0;
+    }
+    state_ = ReadState::Complete;
+    keepAlive_ = http_should_keep_alive(&parser_) != 0;
+    http_parser_pause(&parser_, 1);
+    return 0;
+}
+
+auto MessageReader::takeRequest() -> Request
+{
+    Request request;
+    request.method_ = http_method_str(static_cast<http_method>(parser_.method));
+    request.target_ = std::move(target_);
+    request.headers_ = HeaderBlock(std::move(lines_));
+    request.body_ = std::move(body_);
+    request.keepAlive_ = keepAlive_;
+    return request;
+}
+
+auto MessageReader::takeResponse() -> Response
+{
+    Response response;
+    response.status_ = static_cast<int>(parser_.status_code);
+    response.headers_ = HeaderBlock(std::move(lines_));
+    response.body_ = std::move(body_);
+    response.keepAlive_ = keepAlive_;
+    return response;
+}
+
+} // namespace wagtailhead::http1
--- /dev/null
+++ b/src/libhttp1/http1_reader.h
@@ -0,0 +1,88 @@
+/// Incremental reading of HTTP/1.1 messages, one at a time.
+#pragma once
+
+#include "http1_message.h"
+
+#include <http_parser.h>
+#include <limits>
+#include <memory>
+#include <string_view>
+
+namespace wagtailhead::http1 {
+
+struct ReadLimits {
+    std::size_t headerBytes_ = std::numeric_limits<std::size_t>::max();
+    std::size_t bodyBytes_ = std::numeric_limits<std::size_t>::max();
+};
+
+enum class ReadState {
+    Empty, ///< No byte of a message has come.
+    Headers, ///< In the start line or the header fields.
+    Body,
+    Complete,
+    Malformed,
+    HeadersTooLarge,
+    BodyTooLarge,
+};
+
+/// Reads one message after the other. Not thread safe.
+class MessageReader {
+public:
+    enum class Kind {
+        Requests,
+        Responses,
+    };
+
+    explicit MessageReader(Kind kind);
+    MessageReader(const MessageReader&) = delete;
+    auto operator=(const MessageReader&) -> MessageReader& = delete;
+
+    /// Starts a new message. `toHead`: the response answers a HEAD request and has no body.
+    auto reset(bool toHead = false) -> void;
+
+    auto setLimits(ReadLimits limits) -> void
+    {
+        limits_ = limits;
+    }
+
+    /// Takes bytes and returns how many belong to the message; the rest follows it.
+    auto feed(std::string_view bytes) -> std::size_t;
+
+    /// Tells that the connection was closed in order: it completes a response without a length.
+    auto finish() -> void;
+
+    auto state() const -> ReadState
+    {
+        return state_;
+    }
+
+    /// Each moves the message out. Precondition: state() is Complete.
+    auto takeRequest() -> Request;
+    auto takeResponse() -> Response;
+
+private:
+    static auto callbacks() -> const http_parser_settings&;
+    auto onField(std::string_view part) -> int;
+    auto onValue(std::string_view part) -> int;
+    auto onHeaders() -> int;
+    auto onBody(std::string_view part) -> int;
+    auto onComplete() -> int;
+    auto endField() -> void;
+    auto countHeaderBytes(std::size_t bytes) -> int;
+
+    http_parser parser_ {};
+    Kind kind_;
+    ReadLimits limits_;
+    ReadState state_ = ReadState::Empty;
+    std::string target_;
+    std::string lines_;
+    std::string body_;
+    std::size_t headerBytes_ = 0;
+    bool inValue_ = false;
+    bool inField_ = false;
+    bool inTrailer_ = false;
+    bool toHead_ = false;
+    bool keepAlive_ = true;
+};
+
+} // namespace wagtailhead::http1
--- /dev/null
+++ b/src/libsidecar/caller_entry.h
@@ -0,0 +1,79 @@
+/// Requests of callers: route, choice of the node, retries, and the final answer.
+#pragma once
+
+#include "gate.h"
+#include "http1_listener.h"
+#include "link_client.h"
+#include "wagtailhead/directory.h"
+#include "wagtailhead/retry.h"
+#include "wagtailhead/site_configuration.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace wagtailhead {
+
+struct CallerEntryOptions {
+    std::string node_;
+    std::string service_; ///< Of this VM; told to backend servers as the caller's service.
+    HeaderNames headers_;
+    double retryShare_ = 0.1; ///< Extra arrivals for each first one, over all nodes.
+    double retryBurst_ = 10; ///< Extra arrivals beyond the share, over all nodes.
+};
+
+struct CallerEntryParts {
+    Directory& directory_;
+    LinkClient& links_;
+    Gate& gate_;
+    std::function<SiteConfigurationPtr()> configuration_;
+};
+
+struct CallerEntryStats {
+    std::uint64_t requests_ = 0;
+    std::uint64_t answered_ = 0;
+    std::uint64_t refused_ = 0; ///< 503: not run.
+    std::uint64_t failed_ = 0; ///< 502 and 504.
+    std::uint64_t noRoute_ = 0;
+    std::uint64_t retries_ = 0;
+    std::uint64_t cancelled_ = 0;
+};
+
+/// All members run in the context's single thread.
+class CallerEntry {
+public:
+    CallerEntry(CallerEntryOptions options, CallerEntryParts parts, std::uint64_t seed);
+    ~CallerEntry();
+    CallerEntry(const CallerEntry&) = delete;
+    auto operator=(const CallerEntry&) -> CallerEntry& = delete;
+
+    auto onRequest(http1::Request request, std::shared_ptr<http1::Exchange> exchange) -> void;
+
+    /// Answers requests whose time is over. Call it every 50 ms or so.
+    auto tick() -> void;
+
+    auto inFlight() const -> std::size_t
+    {
+        return operations_.size();
+    }
+    auto stats() const -> const CallerEntryStats&
+    {
+        return stats_;
+    }
+
+private:
+    class Operation;
+    friend class Operation;
+
+    auto budgetOf(const std::string& service) -> RetryBudget&;
+    auto chooseDestination(const SiteRoute& route) -> const std::string&;
+
+    CallerEntryOptions options_;
+    CallerEntryParts parts_;
+    std::mt19937_64 random_;
+    std::map<std::string, std::unique_ptr<RetryBudget>> budgets_; ///< By service.
+    std::set<std::pair<TimePoint, std::shared_ptr<Operation>>> operations_; ///< By deadline.
+    CallerEntryStats stats_;
+};
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/frame_stream.h
@@ -0,0 +1,57 @@
+/// Frames over one TCP connection.
+#pragma once
+
+#include "link_frames.h"
+#include "wagtailhead/clock.h"
+
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace wagtailhead {
+
+/// Sends and receives frames until the connection breaks. Frames of one turn of the event loop go out in
+/// one write. All members and callbacks run in the context's single thread.
+class FrameStream : public std::enable_shared_from_this<FrameStream> {
+public:
+    struct Events {
+        std::function<void(Frame frame)> onFrame_;
+        std::function<void(const std::string& reason)> onClosed_; ///< Runs once, unless close() was called.
+    };
+
+    explicit FrameStream(asio::ip::tcp::socket socket);
+
+    /// Starts reading. Precondition: the socket is connected.
+    auto start(Events events) -> void;
+    auto send(const Frame& frame) -> void;
+    /// Closes without calling `onClosed_`.
+    auto close() -> void;
+
+    auto lastReceived() const -> TimePoint
+    {
+        return lastReceived_;
+    }
+    auto unsentBytes() const -> std::size_t
+    {
+        return queued_.size() + writing_.size();
+    }
+
+private:
+    auto read() -> void;
+    auto handleBytes(std::size_t size) -> void;
+    auto flush() -> void;
+    auto write() -> void;
+    auto fail(const std::string& reason) -> void;
+
+    asio::ip::tcp::socket socket_;
+    Events events_;
+    std::string input_;
+    std::string queued_;
+    std::string writing_;
+    TimePoint lastReceived_ = Clock::now();
+    bool flushPosted_ = false;
+    bool closed_ = false;
+};
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/gate.cpp
@@ -0,0 +1,411 @@
+#include "gate.h"
+
+#include "wagtailhead/log.h"
+
+#include <algorithm>
+#include <array>
+
+namespace wagtailhead {
+
+namespace {
+
+constexpr std::array<const char*, 11> reasonNames { "none", "busy", "draining", "unavailable", "wrong-service",
+    "expired", "lost", "malformed", "timeout", "duplicate", "stopping" };
+
+/// How long requests are refused at once after the backend server did not accept a connection.
+constexpr Duration unreachablePause = milliseconds(200);
+/// The backend server stops at the deadline by itself; its own answer is better than a cut connection.
+constexpr Duration deadlineGrace = milliseconds(60);
+/// A request that must not run twice only takes a connection that was idle for less than this.
+constexpr Duration freshIdle = milliseconds(1500);
+constexpr double serviceTimeWeight = 0.05; ///< Of the newest request in the moving mean.
+constexpr Duration recordSweepInterval = seconds(1);
+/// The capacity that is assumed until a report names it.
+constexpr int assumedCapacity = 8;
+
+constexpr int statusMisdirected = 421;
+constexpr int statusOk = 200;
+constexpr int statusRedirect = 300;
+
+auto notRun(GateReason reason, bool arrived = false) -> GateReply
+{
+    GateReply reply;
+    reply.outcome_ = GateOutcome::NotRun;
+    reply.reason_ = reason;
+    reply.arrived_ = arrived;
+    return reply;
+}
+
+auto unknown(GateReason reason) -> GateReply
+{
+    GateReply reply;
+    reply.outcome_ = GateOutcome::Unknown;
+    reply.reason_ = reason;
+    reply.arrived_ = true;
+    return reply;
+}
+
+} // namespace
+
+auto gateReasonName(GateReason reason) -> const char*
+{
+    return reasonNames.at(static_cast<std::size_t>(reason));
+}
+
+Gate::Gate(GateOptions options, std::shared_ptr<http1::Pool> pool)
+    : options_(std::move(options))
+    , pool_(std::move(pool))
+{
+}
+
+auto Gate::limit() const -> int
+{
+    const int capacity = instance_.capacity_ > 0 ? instance_.capacity_ : assumedCapacity;
+    return maxConnections_ > 0 ? std::min(capacity, static_cast<int>(maxConnections_)) : capacity;
+}
+
+auto Gate::isUnreachable() const -> bool
+{
+    return bootNow() < unreachableUntil_;
+}
+
+auto Gate::refusalFor(const GateCall& call) const -> GateReason
+{
+    if (call.service_ != options_.service_) {
+        return GateReason::WrongService;
+    }
+    if (stopping_) {
+        return GateReason::Stopping;
+    }
+    switch (instance_.phase_) {
+    case BackendPhase::Unknown:
+    case BackendPhase::Gone:
+        return GateReason::Unavailable;
+    case BackendPhase::Draining:
+        return GateReason::Draining;
+    case BackendPhase::Ready:
+        break;
+    }
+    if (isUnreachable()) {
+        return GateReason::Unavailable;
+    }
+    if (call.deadline_ <= bootNow()) {
+        return GateReason::Expired;
+    }
+    if (running_ >= limit()) {
+        const auto bound = std::chrono::duration_cast<Duration>(call.goal_ * options_.queueShare_);
+        if (expectedWait(call.rank_) > bound) {
+            return GateReason::Busy;
+        }
+    }
+    return GateReason::None;
+}
+
+auto Gate::expectedWait(int rank) const -> Duration
+{
+    std::size_t ahead = 0;
+    for (const auto& [waitingRank, tickets] : queue_) {
+        if (waitingRank <= rank) {
+            ahead += tickets.size();
+        }
+    }
+    return meanServiceTime_ * static_cast<long>(ahead + 1) / std::max(limit(), 1);
+}
+
+auto Gate::submit(GateCall call, GateCallback callback) -> TicketId
+{
+    auto refusal = refusalFor(call);
+    if (!call.idempotent_ && refusal == GateReason::None) {
+        const auto known = records_.find(call.attemptId_);
+        if (known != records_.end()) {
+            refusal = GateReason::Duplicate;
+        }
+    }
+    if (refusal != GateReason::None) {
+        ++stats_.refused_;
+        auto reply = refusal == GateReason::Duplicate ? unknown(refusal) : notRun(refusal);
+        reply.load_ = load();
+        callback(std::move(reply));
+        return 0;
+    }
+    auto ticket = std::make_shared<Ticket>();
+    ticket->id_ = ++lastId_;
+    ticket->call_ = std::move(call);
+    ticket->callback_ = std::move(callback);
+    ticket->arrived_ = bootNow();
+    tickets_[ticket->id_] = ticket;
+    if (!ticket->call_.idempotent_) {
+        records_[ticket->call_.attemptId_]
+            = { Record::Waiting, ticket->call_.deadline_ + options_.recordSlack_, ticket->id_ };
+    }
+    ++stats_.admitted_;
+    const auto id = ticket->id_;
+    if (running_ < limit()) {
+        start(ticket);
+    } else {
+        ++waiting_;
+        queue_[ticket->call_.rank_].push_back(ticket);
+    }
+    return id;
+}
+
+auto Gate::firstWaiting() const -> TicketPtr
+{
+    for (const auto& [rank, tickets] : queue_) {
+        if (!tickets.empty()) {
+            return tickets.front();
+        }
+    }
+    return nullptr;
+}
+
+auto Gate::startWaiting() -> void
+{
+    const bool closed = stopping_ || instance_.phase_ != BackendPhase::Ready;
+    while (waiting_ > 0 && (closed || running_ < limit())) {
+        const auto next = firstWaiting();
+        if (closed) {
+            dropWaiting(next, stopping_ ? GateReason::Stopping : GateReason::Draining);
+            continue;
+        }
+        if (next->call_.deadline_ <= bootNow()) {
+            dropWaiting(next, GateReason::Expired);
+            continue;
+        }
+        queue_[next->call_.rank_].pop_front();
+        --waiting_;
+        start(next);
+    }
+}
+
+auto Gate::dropWaiting(const TicketPtr& ticket, GateReason reason) -> void
+{
+    auto& tickets = queue_[ticket->call_.rank_];
+    const auto found = std::find(tickets.begin(), tickets.end(), ticket);
+    if (found == tickets.end()) {
+        return;
+    }
+    tickets.erase(found);
+    --waiting_;
+    records_.erase(ticket->call_.attemptId_);
+    ++stats_.refused_;
+    finish(ticket, notRun(reason));
+}
+
+auto Gate::backendRequest(const GateCall& call) const -> http1::Request
+{
+    http1::Request request;
+    request.method_ = call.method_;
+    request.target_ = call.target_;
+    request.headers_ = call.headers_;
+    const auto left = std::chrono::duration_cast<milliseconds>(call.deadline_ - bootNow()).count();
+    request.headers_.add(options_.headers_.remainingMs_, std::to_string(std::max<std::int64_t>(left, 1)));
+    request.headers_.add(options_.headers_.callerService_, call.callerService_);
+    request.headers_.add(options_.headers_.targetInstance_, instance_.id_);
+    request.body_ = call.body_;
+    return request;
+}
+
+auto Gate::start(const TicketPtr& ticket) -> void
+{
+    auto& call = ticket->call_;
+    ticket->running_ = true;
+    ticket->sent_ = bootNow();
+    ++running_;
+    if (!call.idempotent_) {
+        records_[call.attemptId_].record_ = Record::Passed;
+    }
+    http1::PoolCall out;
+    out.request_ = backendRequest(call);
+    out.timeout_ = call.deadline_ - ticket->sent_ + deadlineGrace;
+    if (!call.idempotent_) {
+        out.maxIdle_ = freshIdle;
+    }
+    out.done_ = [this, ticket](http1::CallResult result) {
+        onResult(ticket, std::move(result));
+    };
+    call.headers_ = {};
+    call.body_ = {};
+    ticket->poolCall_ = pool_->send(std::move(out));
+}
+
+auto Gate::onResult(const TicketPtr& ticket, http1::CallResult result) -> void
+{
+    --running_;
+    auto reply = replyFor(*ticket, std::move(result));
+    if (reply.outcome_ == GateOutcome::NotRun) {
+        records_.erase(ticket->call_.attemptId_);
+    }
+    finish(ticket, std::move(reply));
+    startWaiting();
+}
+
+auto Gate::replyFor(const Ticket& ticket, http1::CallResult result) -> GateReply
+{
+    if (auto* response = std::get_if<http1::Response>(&result)) {
+        return answerReply(ticket, std::move(*response));
+    }
+    const auto failure = std::get<http1::Failure>(result);
+    logEvent(LogLevel::Warning, "backend_call_failed",
+        { { "attempt", ticket.call_.attemptId_ }, { "backend", instance_.id_ },
+            { "failure", http1::failureName(failure) },
+            { "after_ms", toMilliseconds(bootNow() - ticket.sent_) } });
+    switch (failure) {
+    case http1::Failure::NotSent:
+        unreachableUntil_ = bootNow() + unreachablePause;
+        return notRun(GateReason::Unavailable);
+    case http1::Failure::Malformed:
+        ++stats_.malformed_;
+        return unknown(GateReason::Malformed);
+    case http1::Failure::Timeout:
+        return unknown(GateReason::Timeout);
+    case http1::Failure::Lost:
+        break;
+    }
+    ++stats_.lost_;
+    return unknown(GateReason::Lost);
+}
+
+auto Gate::answerReply(const Ticket& ticket, http1::Response response) -> GateReply
+{
+    const auto& names = options_.headers_;
+    const auto echo = response.headers_.find(names.attemptId_);
+    const bool success = response.status_ >= statusOk && response.status_ < statusRedirect;
+    const bool foreign = response.headers_.has("Content-Encoding") || (!echo.empty() && echo != ticket.call_.attemptId_)
+        || (success && !response.headers_.has(names.seal_));
+    if (foreign) {
+        ++stats_.malformed_;
+        logEvent(LogLevel::Warning, "answer_rejected",
+            { { "attempt", ticket.call_.attemptId_ }, { "backend", instance_.id_ },
+                { "status", response.status_ }, { "echo", echo } });
+        return unknown(GateReason::Malformed);
+    }
+    if (response.headers_.has(names.notRun_) || response.status_ == statusMisdirected) {
+        ++stats_.rejectedByBackend_;
+        return notRun(
+            response.status_ == statusMisdirected ? GateReason::Unavailable : GateReason::Busy, true);
+    }
+    const auto spent = bootNow() - ticket.sent_;
+    meanServiceTime_ += std::chrono::duration_cast<Duration>((spent - meanServiceTime_) * serviceTimeWeight);
+    ++stats_.answered_;
+    GateReply reply;
+    reply.outcome_ = GateOutcome::Answered;
+    reply.arrived_ = true;
+    reply.response_ = std::move(response);
+    reply.response_.headers_.removeHopByHop();
+    return reply;
+}
+
+auto Gate::finish(const TicketPtr& ticket, GateReply reply) -> void
+{
+    tickets_.erase(ticket->id_);
+    if (ticket->abandoned_) {
+        return;
+    }
+    reply.load_ = load();
+    auto callback = std::exchange(ticket->callback_, nullptr);
+    callback(std::move(reply));
+}
+
+auto Gate::cancel(TicketId id) -> void
+{
+    const auto found = tickets_.find(id);
+    if (found == tickets_.end()) {
+        return;
+    }
+    const auto ticket = found->second;
+    ticket->abandoned_ = true;
+    if (!ticket->running_) {
+        dropWaiting(ticket, GateReason::Expired);
+        return;
+    }
+    if (ticket->call_.idempotent_) {
+        pool_->cancel(ticket->poolCall_);
+        --running_;
+        tickets_.erase(id);
+        startWaiting();
+    }
+}
+
+auto Gate::fence(const std::string& attemptId) -> bool
+{
+    auto& record = records_[attemptId];
+    if (record.ticket_ == 0) {
+        record = { Record::Blocked, bootNow() + std::chrono::minutes(1), 0 };
+        return true;
+    }
+    if (record.record_ != Record::Waiting) {
+        return record.record_ == Record::Blocked;
+    }
+    const auto found = tickets_.find(record.ticket_);
+    if (found != tickets_.end()) {
+        const auto ticket = found->second;
+        ticket->abandoned_ = true;
+        dropWaiting(ticket, GateReason::Expired);
+    }
+    records_[attemptId] = { Record::Blocked, bootNow() + std::chrono::minutes(1), 0 };
+    return true;
+}
+
+auto Gate::setInstance(const BackendInstance& instance) -> void
+{
+    if (!(instance.address_ == instance_.address_) || instance.id_ != instance_.id_
+        || instance.bornMs_ != instance_.bornMs_) {
+        unreachableUntil_ = {};
+        pool_->setServer(instance.address_);
+    }
+    instance_ = instance;
+    startWaiting();
+}
+
+auto Gate::setMaxConnections(std::size_t count) -> void
+{
+    maxConnections_ = count;
+    if (count > 0) {
+        pool_->setMaxConnections(count);
+    }
+}
+
+auto Gate::stopAdmitting() -> void
+{
+    stopping_ = true;
+    startWaiting();
+}
+
+auto Gate::tick() -> void
+{
+    const auto now = bootNow();
+    std::vector<std::pair<TicketPtr, GateReason>> late;
+    for (const auto& [rank, tickets] : queue_) {
+        for (const auto& ticket : tickets) {
+            const auto bound = std::chrono::duration_cast<Duration>(ticket->call_.goal_ * options_.queueShare_);
+            if (ticket->call_.deadline_ <= now) {
+                late.emplace_back(ticket, GateReason::Expired);
+            } else if (now - ticket->arrived_ > 2 * bound) {
+                late.emplace_back(ticket, GateReason::Busy);
+            }
+        }
+    }
+    for (const auto& [ticket, reason] : late) {
+        dropWaiting(ticket, reason);
+    }
+    startWaiting();
+    if (now >= nextRecordSweep_) {
+        nextRecordSweep_ = now + recordSweepInterval;
+        expireRecords(now);
+    }
+}
+
+auto Gate::expireRecords(TimePoint now) -> void
+{
+    std::erase_if(records_, [&](const auto& item) {
+        return item.second.expires_ < now && tickets_.count(item.second.ticket_) == 0;
+    });
+}
+
+auto Gate::load() const -> GateLoad
+{
+    return { running_, waiting_, limit() };
+}
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/gate.h
@@ -0,0 +1,138 @@
+/// The only way to the backend server of this VM.
+#pragma once
+
+#include "gate_types.h"
+#include "header_names.h"
+#include "http1_pool.h"
+#include "wagtailhead/boot_clock.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace wagtailhead {
+
+struct GateOptions {
+    std::string service_;
+    HeaderNames headers_;
+    /// Longest wait in the queue as a share of the latency objective.
+    double queueShare_ = 0.4;
+    /// How long the record of a request that may run once outlives its deadline.
+    Duration recordSlack_ = seconds(10);
+};
+
+/// What the backend server has last said of itself.
+struct BackendInstance {
+    std::string id_;
+    std::uint64_t bornMs_ = 0;
+    Address address_;
+    int capacity_ = 0;
+    BackendPhase phase_ = BackendPhase::Unknown;
+};
+
+struct GateStats {
+    std::uint64_t admitted_ = 0;
+    std::uint64_t refused_ = 0;
+    std::uint64_t answered_ = 0;
+    std::uint64_t lost_ = 0;
+    std::uint64_t malformed_ = 0;
+    std::uint64_t rejectedByBackend_ = 0;
+};
+
+/// Decides which requests the backend server gets and when; nothing else reaches it. A request that may run
+/// once is passed on at most once for each attempt id. All members and callbacks run in the context's
+/// single thread.
+class Gate {
+public:
+    using TicketId = std::uint64_t;
+
+    Gate(GateOptions options, std::shared_ptr<http1::Pool> pool);
+
+    /// Takes a request. The callback runs exactly once unless the request is cancelled, possibly before
+    /// submit() returns.
+    auto submit(GateCall call, GateCallback callback) -> TicketId;
+
+    /// Nobody waits for the answer any more: drops the request if it waits, and stops it at the backend
+    /// server if it is idempotent.
+    auto cancel(TicketId id) -> void;
+
+    /// Makes sure that the attempt never starts. Returns false if it may have been passed on.
+    auto fence(const std::string& attemptId) -> bool;
+
+    auto setInstance(const BackendInstance& instance) -> void;
+    auto setMaxConnections(std::size_t count) -> void;
+    /// Refuses all further requests.
+    auto stopAdmitting() -> void;
+
+    /// Drops what has waited too long. Call it every 100 ms or so.
+    auto tick() -> void;
+
+    auto load() const -> GateLoad;
+    auto stats() const -> const GateStats&
+    {
+        return stats_;
+    }
+    auto inFlight() const -> std::size_t
+    {
+        return tickets_.size();
+    }
+
+private:
+    struct Ticket {
+        TicketId id_ = 0;
+        GateCall call_;
+        GateCallback callback_;
+        TimePoint arrived_;
+        TimePoint sent_;
+        http1::Pool::CallId poolCall_ = 0;
+        bool running_ = false;
+        bool abandoned_ = false;
+    };
+    using TicketPtr = std::shared_ptr<Ticket>;
+
+    enum class Record : std::uint8_t {
+        Waiting,
+        Passed, ///< Sent to the backend server.
+        Blocked, ///< Fenced: never starts.
+    };
+    struct AttemptRecord {
+        Record record_ = Record::Waiting;
+        TimePoint expires_;
+        TicketId ticket_ = 0;
+    };
+
+    auto refusalFor(const GateCall& call) const -> GateReason;
+    auto expectedWait(int rank) const -> Duration;
+    /// Precondition: waiting_ > 0.
+    auto firstWaiting() const -> TicketPtr;
+    auto startWaiting() -> void;
+    auto start(const TicketPtr& ticket) -> void;
+    auto backendRequest(const GateCall& call) const -> http1::Request;
+    auto onResult(const TicketPtr& ticket, http1::CallResult result) -> void;
+    auto replyFor(const Ticket& ticket, http1::CallResult result) -> GateReply;
+    auto answerReply(const Ticket& ticket, http1::Response response) -> GateReply;
+    auto finish(const TicketPtr& ticket, GateReply reply) -> void;
+    auto dropWaiting(const TicketPtr& ticket, GateReason reason) -> void;
+    auto limit() const -> int;
+    auto isUnreachable() const -> bool;
+    auto expireRecords(TimePoint now) -> void;
+
+    GateOptions options_;
+    std::shared_ptr<http1::Pool> pool_;
+    BackendInstance instance_;
+    std::map<int, std::deque<TicketPtr>> queue_; ///< By rank.
+    std::unordered_map<TicketId, TicketPtr> tickets_;
+    std::unordered_map<std::string, AttemptRecord> records_;
+    TicketId lastId_ = 0;
+    int running_ = 0;
+    int waiting_ = 0;
+    std::size_t maxConnections_ = 0;
+    Duration meanServiceTime_ = milliseconds(30);
+    TimePoint unreachableUntil_;
+    TimePoint nextRecordSweep_;
+    bool stopping_ = false;
+    GateStats stats_;
+};
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/kind_watch.h
@@ -0,0 +1,49 @@
+/// Follows all objects of one kind in the store.
+#pragma once
+
+#include "wagtailhead/object_store.h"
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace wagtailhead {
+
+struct KindWatchEvents {
+    /// All objects of the kind; those that are not named do not exist any more.
+    std::function<void(const std::vector<StoredObject>& objects)> onList_;
+    std::function<void(const StoredChange& change)> onChange_;
+    /// The store was lost or is there again.
+    std::function<void(bool reachable)> onReachable_;
+};
+
+/// Lists, then watches, and starts over when the history is gone. Calls that fail are repeated at a bounded
+/// rate, since each is paid for. All members run in the context's single thread.
+class KindWatch : public std::enable_shared_from_this<KindWatch> {
+public:
+    KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, std::uint64_t seed,
+        KindWatchEvents events);
+
+    auto start() -> void;
+    auto stop() -> void;
+
+private:
+    auto list() -> void;
+    auto watch() -> void;
+    auto pauseThen(void (KindWatch::*next)()) -> void;
+    auto setReachable(bool reachable, StoreError error) -> void;
+
+    ObjectStore& store_;
+    std::string kind_;
+    KindWatchEvents events_;
+    asio::steady_timer timer_;
+    std::mt19937_64 random_;
+    std::uint64_t revision_ = 0;
+    int failures_ = 0; ///< In a row.
+    bool reachable_ = true;
+    bool stopped_ = false;
+};
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/link_client.cpp
@@ -0,0 +1,405 @@
+#include "link_client.h"
+
+#include "socket_options.h"
+#include "wagtailhead/boot_clock.h"
+#include "wagtailhead/log.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace wagtailhead {
+
+namespace {
+
+constexpr Duration connectTimeout = seconds(1);
+/// A link that owes replies and is quiet for this long is asked for a sign of life.
+constexpr Duration pingAfter = milliseconds(400);
+/// A link that owes replies and is quiet for this long counts as broken.
+constexpr Duration silentAfter = milliseconds(1200);
+/// Links without use are closed, so that a node keeps links only to the nodes that it calls.
+constexpr Duration idleLimit = std::chrono::minutes(2);
+
+} // namespace
+
+/// The link to one node: connecting, then open until it breaks.
+class LinkClient::Link : public std::enable_shared_from_this<LinkClient::Link> {
+public:
+    Link(LinkClient& owner, const NodeEntry& node)
+        : owner_(owner)
+        , node_(node.node_)
+        , address_(node.link_)
+    {
+    }
+
+    auto connect() -> void;
+    auto sendCall(CallId id, GateCall call, Callback callback) -> void;
+    auto sendFence(CallId id, FenceFrame frame, TimePoint deadline, FenceCallback callback) -> void;
+    auto send(const Frame& frame) -> void;
+    auto cancel(CallId id) -> void;
+    auto tick(TimePoint now) -> void;
+    auto close() -> void;
+    auto isBroken() const -> bool
+    {
+        return broken_;
+    }
+    auto isOpen() const -> bool
+    {
+        return stream_ != nullptr && incarnation_ != 0;
+    }
+    auto isIdle(TimePoint now) const -> bool
+    {
+        return calls_.empty() && fences_.empty() && now - lastUse_ > idleLimit;
+    }
+    auto address() const -> const Address&
+    {
+        return address_;
+    }
+
+private:
+    struct PendingCall {
+        Callback callback_;
+        std::optional<GateCall> unsent_; ///< Until the other side has said who it is.
+    };
+    struct PendingFence {
+        FenceCallback callback_;
+        TimePoint deadline_;
+        std::optional<FenceFrame> unsent_;
+    };
+
+    auto onConnected(asio::ip::tcp::socket socket) -> void;
+    auto onFrame(Frame frame) -> void;
+    auto onHello(const HelloFrame& hello) -> void;
+    auto transmit(CallId id, GateCall call) -> void;
+    auto fail(const std::string& reason) -> void;
+    auto expireFences(TimePoint now) -> void;
+
+    LinkClient& owner_;
+    std::string node_;
+    Address address_;
+    std::shared_ptr<FrameStream> stream_;
+    std::unique_ptr<asio::ip::tcp::socket> connecting_;
+    std::uint64_t incarnation_ = 0;
+    std::unordered_map<CallId, PendingCall> calls_;
+    std::unordered_map<CallId, PendingFence> fences_;
+    std::vector<Frame> unsentOthers_;
+    TimePoint connectDeadline_;
+    TimePoint lastSent_ = Clock::now();
+    TimePoint lastUse_ = Clock::now();
+    bool pinged_ = false;
+    bool broken_ = false;
+};
+
+auto LinkClient::Link::connect() -> void
+{
+    connectDeadline_ = Clock::now() + connectTimeout;
+    connecting_ = std::make_unique<asio::ip::tcp::socket>(owner_.context_);
+    connecting_->async_connect(
+        http1::endpointOf(address_), [self = shared_from_this()](const asio::error_code& error) {
+            if (self->broken_) {
+                return;
+            }
+            if (error) {
+                self->fail("connect: " + error.message());
+                return;
+            }
+            self->onConnected(std::move(*self->connecting_));
+        });
+}
+
+auto LinkClient::Link::onConnected(asio::ip::tcp::socket socket) -> void
+{
+    stream_ = std::make_shared<FrameStream>(std::move(socket));
+    const std::weak_ptr<Link> weak = weak_from_this();
+    stream_->start({ [weak](Frame frame) {
+                        if (const auto self = weak.lock()) {
+                            self->onFrame(std::move(frame));
+                        }
+                    },
+        [weak](const std::string& reason) {
+            if (const auto self = weak.lock()) {
+                self->fail(reason);
+            }
+        } });
+}
+
+auto LinkClient::Link::onHello(const HelloFrame& hello) -> void
+{
+    if (hello.node_ != node_) {
+        fail("the address belongs to node " + hello.node_);
+        return;
+    }
+    incarnation_ = hello.incarnation_;
+    logEvent(LogLevel::Info, "link_open", { { "node", node_ }, { "incarnation", incarnation_ } });
+    for (auto& [id, pending] : calls_) {
+        if (pending.unsent_) {
+            auto call = std::move(*pending.unsent_);
+            pending.unsent_.reset();
+            transmit(id, std::move(call));
+        }
+    }
+    for (auto& [id, pending] : fences_) {
+        if (pending.unsent_) {
+            send(*pending.unsent_);
+            pending.unsent_.reset();
+        }
+    }
+    for (const auto& frame : std::exchange(unsentOthers_, {})) {
+        send(frame);
+    }
+    owner_.events_.onConfigVersion_(node_, hello.configVersion_);
+}
+
+auto LinkClient::Link::onFrame(Frame frame) -> void
+{
+    pinged_ = false;
+    if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
+        onHello(*hello);
+    } else if (auto* reply = std::get_if<ReplyFrame>(&frame)) {
+        const auto found = calls_.find(reply->id_);
+        if (found != calls_.end()) {
+            auto callback = std::move(found->second.callback_);
+            calls_.erase(found);
+            owner_.calls_.erase(reply->id_);
+            callback({ std::move(reply->reply_), incarnation_ });
+        }
+        owner_.events_.onConfigVersion_(node_, reply->configVersion_);
+    } else if (const auto* fence = std::get_if<FenceReplyFrame>(&frame)) {
+        const auto found = fences_.find(fence->id_);
+        if (found != fences_.end()) {
+            auto callback = std::move(found->second.callback_);
+            fences_.erase(found);
+            callback(fence->neverRuns_);
+        }
+    } else if (auto* state = std::get_if<StateFrame>(&frame)) {
+        owner_.events_.onState_(node_, std::move(*state));
+    }
+}
+
+auto LinkClient::Link::sendCall(CallId id, GateCall call, Callback callback) -> void
+{
+    lastUse_ = Clock::now();
+    if (!isOpen()) {
+        calls_[id] = { std::move(callback), std::move(call) };
+        return;
+    }
+    calls_[id] = { std::move(callback), std::nullopt };
+    transmit(id, std::move(call));
+}
+
+auto LinkClient::Link::transmit(CallId id, GateCall call) -> void
+{
+    const auto now = bootNow();
+    const auto sentAt = std::chrono::duration_cast<microseconds>(now.time_since_epoch()).count();
+    send(CallFrame { id, sentAt, std::move(call) });
+}
+
+auto LinkClient::Link::sendFence(CallId id, FenceFrame frame, TimePoint deadline, FenceCallback callback) -> void
+{
+    lastUse_ = Clock::now();
+    frame.id_ = id;
+    if (isOpen()) {
+        fences_[id] = { std::move(callback), deadline, std::nullopt };
+        send(frame);
+    } else {
+        fences_[id] = { std::move(callback), deadline, std::move(frame) };
+    }
+}
+
+auto LinkClient::Link::send(const Frame& frame) -> void
+{
+    if (!isOpen()) {
+        unsentOthers_.push_back(frame);
+        return;
+    }
+    // The silence of the other side counts from the time when it first owes something.
+    if (calls_.size() + fences_.size() <= 1) {
+        lastSent_ = Clock::now();
+    }
+    stream_->send(frame);
+}
+
+auto LinkClient::Link::cancel(CallId id) -> void
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    const bool sent = !found->second.unsent_;
+    calls_.erase(found);
+    if (sent && isOpen()) {
+        send(CancelFrame { id });
+    }
+}
+
+auto LinkClient::Link::tick(TimePoint now) -> void
+{
+    expireFences(now);
+    if (broken_) {
+        return;
+    }
+    if (!isOpen()) {
+        if (now > connectDeadline_) {
+            fail("no connection in time");
+        }
+        return;
+    }
+    if (calls_.empty() && fences_.empty()) {
+        return;
+    }
+    const auto quiet = now - std::max(stream_->lastReceived(), lastSent_);
+    if (quiet > silentAfter) {
+        ++owner_.stats_.silent_;
+        fail("silent");
+    } else if (quiet > pingAfter && !pinged_) {
+        pinged_ = true;
+        stream_->send(PingFrame {});
+    }
+}
+
+auto LinkClient::Link::expireFences(TimePoint now) -> void
+{
+    std::vector<FenceCallback> late;
+    for (auto it = fences_.begin(); it != fences_.end();) {
+        if (now > it->second.deadline_) {
+            late.push_back(std::move(it->second.callback_));
+            it = fences_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    for (const auto& callback : late) {
+        callback(false);
+    }
+}
+
+auto LinkClient::Link::fail(const std::string& reason) -> void
+{
+    if (broken_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    broken_ = true;
+    ++owner_.stats_.lost_;
+    logEvent(LogLevel::Warning, "link_lost",
+        { { "node", node_ }, { "reason", reason }, { "calls", calls_.size() } });
+    if (stream_) {
+        stream_->close();
+    }
+    if (connecting_) {
+        asio::error_code ignored; // Nothing is left to do with the socket.
+        connecting_->close(ignored);
+    }
+    auto calls = std::exchange(calls_, {});
+    auto fences = std::exchange(fences_, {});
+    for (auto& [id, pending] : calls) {
+        owner_.calls_.erase(id);
+        const auto failure = pending.unsent_ ? LinkFailure::NotSent : LinkFailure::Lost;
+        pending.callback_({ failure, pending.unsent_ ? 0 : incarnation_ });
+    }
+    for (auto& [id, pending] : fences) {
+        pending.callback_(false);
+    }
+}
+
+auto LinkClient::Link::close() -> void
+{
+    broken_ = true;
+    if (stream_) {
+        stream_->close();
+    }
+    if (connecting_) {
+        asio::error_code ignored; // Nothing is left to do with the socket.
+        connecting_->close(ignored);
+    }
+}
+
+LinkClient::LinkClient(asio::io_context& context, LinkEvents events)
+    : context_(context)
+    , events_(std::move(events))
+{
+}
+
+LinkClient::~LinkClient()
+{
+    for (const auto& [node, link] : links_) {
+        link->close();
+    }
+}
+
+auto LinkClient::linkTo(const NodeEntry& node) -> std::shared_ptr<Link>
+{
+    auto& link = links_[node.node_];
+    if (!link || link->isBroken() || !(link->address() == node.link_)) {
+        if (link && !link->isBroken()) {
+            link->close();
+        }
+        ++stats_.opened_;
+        link = std::make_shared<Link>(*this, node);
+        link->connect();
+    }
+    return link;
+}
+
+auto LinkClient::call(const NodeEntry& node, GateCall call, Callback callback) -> CallId
+{
+    const auto id = ++lastId_;
+    const auto link = linkTo(node);
+    calls_[id] = link;
+    link->sendCall(id, std::move(call), std::move(callback));
+    return id;
+}
+
+auto LinkClient::cancel(CallId id) -> void
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    if (const auto link = found->second.lock()) {
+        link->cancel(id);
+    }
+    calls_.erase(id);
+}
+
+auto LinkClient::fence(const NodeEntry& node, std::uint64_t incarnation, const std::string& attemptId,
+    Duration timeout, FenceCallback callback) -> void
+{
+    FenceFrame frame;
+    frame.incarnation_ = incarnation;
+    frame.attemptId_ = attemptId;
+    linkTo(node)->sendFence(++lastId_, std::move(frame), Clock::now() + timeout, std::move(callback));
+}
+
+auto LinkClient::requestState(const NodeEntry& node, std::uint64_t configVersion) -> void
+{
+    linkTo(node)->send(StateRequestFrame { configVersion });
+}
+
+auto LinkClient::announce(const NodeEntry& entry) -> void
+{
+    for (const auto& [node, link] : links_) {
+        if (!link->isBroken() && link->isOpen()) {
+            link->send(EntryFrame { entry });
+        }
+    }
+}
+
+auto LinkClient::tick(TimePoint now) -> void
+{
+    std::vector<std::shared_ptr<Link>> links;
+    links.reserve(links_.size());
+    for (const auto& [node, link] : links_) {
+        links.push_back(link);
+    }
+    for (const auto& link : links) {
+        link->tick(now);
+    }
+    std::erase_if(links_, [&](const auto& item) {
+        if (!item.second->isBroken() && item.second->isIdle(now)) {
+            item.second->close();
+        }
+        return item.second->isBroken();
+    });
+}
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/link_client.h
@@ -0,0 +1,90 @@
+/// Requests to other nodes over one long-lived connection each.
+#pragma once
+
+#include "frame_stream.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace wagtailhead {
+
+/// Why no reply came over a link.
+enum class LinkFailure : std::uint8_t {
+    NotSent, ///< No connection: the other node has not seen the request.
+    Lost, ///< The connection broke; `incarnation` tells whom to fence.
+};
+
+struct LinkResult {
+    std::variant<GateReply, LinkFailure> value_;
+    std::uint64_t incarnation_ = 0; ///< Of the process to which the request was sent; 0 if not sent.
+};
+
+struct LinkEvents {
+    /// A node says that it has this version of the configuration.
+    std::function<void(const std::string& node, std::uint64_t version)> onConfigVersion_;
+    std::function<void(const std::string& node, StateFrame state)> onState_;
+};
+
+struct LinkStats {
+    std::uint64_t opened_ = 0;
+    std::uint64_t lost_ = 0;
+    std::uint64_t silent_ = 0;
+};
+
+/// The links from this node to others. All members and callbacks run in the context's single thread.
+class LinkClient {
+public:
+    using CallId = std::uint64_t;
+    using Callback = std::function<void(LinkResult)>;
+    using FenceCallback = std::function<void(bool neverRuns)>;
+
+    LinkClient(asio::io_context& context, LinkEvents events);
+    ~LinkClient();
+    LinkClient(const LinkClient&) = delete;
+    auto operator=(const LinkClient&) -> LinkClient& = delete;
+
+    /// Sends a call. The callback runs exactly once unless the call is cancelled, never inside call().
+    auto call(const NodeEntry& node, GateCall call, Callback callback) -> CallId;
+
+    /// Forgets the call and tells the other node.
+    auto cancel(CallId id) -> void;
+
+    /// Asks the node to make sure that the attempt never starts. Answers false if it may have started, or
+    /// when no answer came in time.
+    auto fence(const NodeEntry& node, std::uint64_t incarnation, const std::string& attemptId, Duration timeout,
+        FenceCallback callback) -> void;
+
+    /// Asks a node for its configuration and entries; the answer goes to `onState_`.
+    auto requestState(const NodeEntry& node, std::uint64_t configVersion) -> void;
+
+    /// Tells all connected nodes about a changed entry of this node.
+    auto announce(const NodeEntry& entry) -> void;
+
+    /// Probes links on which replies are due. Call it every 100 ms.
+    auto tick(TimePoint now) -> void;
+
+    auto stats() const -> const LinkStats&
+    {
+        return stats_;
+    }
+
+private:
+    class Link;
+    friend class Link;
+
+    auto linkTo(const NodeEntry& node) -> std::shared_ptr<Link>;
+
+    asio::io_context& context_;
+    LinkEvents events_;
+    std::map<std::string, std::shared_ptr<Link>> links_; ///< By node.
+    std::unordered_map<CallId, std::weak_ptr<Link>> calls_;
+    CallId lastId_ = 0;
+    LinkStats stats_;
+};
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/link_frames.cpp
@@ -0,0 +1,361 @@
+#include "link_frames.h"
+
+#include "wagtailhead/boot_clock.h"
+
+#include <limits>
+#include <msgpack.hpp>
+
+namespace wagtailhead {
+
+namespace {
+
+constexpr std::size_t lengthBytes = 4;
+/// The largest body is bounded by the limits for callers; a longer frame is an error of the stream.
+constexpr std::size_t maxFrameBytes = std::size_t { 160 } << 20;
+
+/// Appends to a string as msgpack's stream type.
+struct StringStream {
+    std::string& text_;
+    auto write(const char* data, std::size_t size) -> void
+    {
+        text_.append(data, size);
+    }
+};
+
+template <typename... Values> auto packAll(StringStream& stream, int type, const Values&... values) -> void
+{
+    msgpack::packer<StringStream> packer(stream);
+    packer.pack_array(sizeof...(values) + 1);
+    packer.pack(type);
+    (packer.pack(values), ...);
+}
+
+/// Reads the elements of an array in order. A missing or mistyped element throws msgpack::type_error.
+class ArrayReader {
+public:
+    explicit ArrayReader(const msgpack::object& object)
+    {
+        if (object.type != msgpack::type::ARRAY) {
+            throw msgpack::type_error();
+        }
+        array_ = object.via.array;
+    }
+
+    template <typename T> auto next() -> T
+    {
+        if (at_ >= array_.size) {
+            throw msgpack::type_error();
+        }
+        return array_.ptr[at_++].as<T>();
+    }
+
+    auto nextArray() -> ArrayReader
+    {
+        if (at_ >= array_.size) {
+            throw msgpack::type_error();
+        }
+        return ArrayReader(array_.ptr[at_++]);
+    }
+
+    auto left() const -> std::size_t
+    {
+        return array_.size - at_;
+    }
+
+private:
+    msgpack::object_array array_ {};
+    std::uint32_t at_ = 0;
+};
+
+/// The place of a type in the variant is its number on the wire.
+template <typename T, std::size_t index = 0> constexpr auto typeNumber() -> int
+{
+    if constexpr (std::is_same_v<T, std::variant_alternative_t<index, Frame>>) {
+        return static_cast<int>(index);
+    } else {
+        return typeNumber<T, index + 1>();
+    }
+}
+
+auto microsecondsOf(TimePoint time) -> std::int64_t
+{
+    return std::chrono::duration_cast<microseconds>(time.time_since_epoch()).count();
+}
+
+auto microsecondsOf(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<microseconds>(duration).count();
+}
+
+template <typename Stream> auto packEntry(msgpack::packer<Stream>& packer, const NodeEntry& entry) -> void
+{
+    constexpr std::uint32_t fieldCount = 11;
+    packer.pack_array(fieldCount);
+    packer.pack(entry.node_);
+    packer.pack(entry.zone_);
+    packer.pack(entry.region_);
+    packer.pack(entry.service_);
+    packer.pack(entry.link_.ip_);
+    packer.pack(entry.link_.port_);
+    packer.pack(entry.capacity_);
+    packer.pack(entry.backendId_);
+    packer.pack(entry.backendBornMs_);
+    packer.pack(static_cast<int>(entry.phase_));
+    packer.pack(entry.generation_);
+}
+
+auto readPhase(int value) -> BackendPhase
+{
+    if (value < 0 || value > static_cast<int>(BackendPhase::Gone)) {
+        throw msgpack::type_error();
+    }
+    return static_cast<BackendPhase>(value);
+}
+
+auto readEntry(ArrayReader reader) -> NodeEntry
+{
+    NodeEntry entry;
+    entry.node_ = reader.next<std::string>();
+    entry.zone_ = reader.next<std::string>();
+    entry.region_ = reader.next<std::string>();
+    entry.service_ = reader.next<std::string>();
+    entry.link_.ip_ = reader.next<std::string>();
+    entry.link_.port_ = reader.next<std::uint16_t>();
+    entry.capacity_ = reader.next<int>();
+    entry.backendId_ = reader.next<std::string>();
+    entry.backendBornMs_ = reader.next<std::uint64_t>();
+    entry.phase_ = readPhase(reader.next<int>());
+    entry.generation_ = reader.next<std::uint64_t>();
+    return entry;
+}
+
+auto pack(StringStream& stream, const HelloFrame& frame) -> void
+{
+    packAll(stream, typeNumber<HelloFrame>(), frame.node_, frame.incarnation_, frame.configVersion_);
+}
+
+auto pack(StringStream& stream, const CallFrame& frame) -> void
+{
+    const auto& call = frame.call_;
+    packAll(stream, typeNumber<CallFrame>(), frame.id_, frame.sentAtUs_,
+        microsecondsOf(call.deadline_) - frame.sentAtUs_, call.attemptId_, call.service_, call.callerService_,
+        call.method_, call.target_, call.headers_.lines(), call.body_, call.idempotent_, call.rank_,
+        microsecondsOf(call.goal_));
+}
+
+auto pack(StringStream& stream, const ReplyFrame& frame) -> void
+{
+    const auto& reply = frame.reply_;
+    packAll(stream, typeNumber<ReplyFrame>(), frame.id_, frame.configVersion_, static_cast<int>(reply.outcome_),
+        static_cast<int>(reply.reason_), reply.arrived_, reply.response_.status_,
+        reply.response_.headers_.lines(), reply.response_.body_, reply.load_.running_, reply.load_.queued_,
+        reply.load_.limit_);
+}
+
+auto pack(StringStream& stream, const CancelFrame& frame) -> void
+{
+    packAll(stream, typeNumber<CancelFrame>(), frame.id_);
+}
+
+auto pack(StringStream& stream, const FenceFrame& frame) -> void
+{
+    packAll(stream, typeNumber<FenceFrame>(), frame.id_, frame.incarnation_, frame.attemptId_);
+}
+
+auto pack(StringStream& stream, const FenceReplyFrame& frame) -> void
+{
+    packAll(stream, typeNumber<FenceReplyFrame>(), frame.id_, frame.neverRuns_);
+}
+
+auto pack(StringStream& stream, const PingFrame& /*frame*/) -> void
+{
+    packAll(stream, typeNumber<PingFrame>());
+}
+
+auto pack(StringStream& stream, const PongFrame& /*frame*/) -> void
+{
+    packAll(stream, typeNumber<PongFrame>());
+}
+
+auto pack(StringStream& stream, const StateRequestFrame& frame) -> void
+{
+    packAll(stream, typeNumber<StateRequestFrame>(), frame.configVersion_);
+}
+
+auto pack(StringStream& stream, const StateFrame& frame) -> void
+{
+    msgpack::packer<StringStream> packer(stream);
+    constexpr std::uint32_t fieldCount = 3;
+    packer.pack_array(fieldCount);
+    packer.pack(typeNumber<StateFrame>());
+    packer.pack(frame.configText_);
+    packer.pack_array(static_cast<std::uint32_t>(frame.entries_.size()));
+    for (const auto& entry : frame.entries_) {
+        packEntry(packer, entry);
+    }
+}
+
+auto pack(StringStream& stream, const EntryFrame& frame) -> void
+{
+    msgpack::packer<StringStream> packer(stream);
+    packer.pack_array(2);
+    packer.pack(typeNumber<EntryFrame>());
+    packEntry(packer, frame.entry_);
+}
+
+auto readCall(ArrayReader& reader) -> CallFrame
+{
+    CallFrame frame;
+    frame.id_ = reader.next<std::uint64_t>();
+    frame.sentAtUs_ = reader.next<std::int64_t>();
+    auto& call = frame.call_;
+    // The receiver adds its own time: only the time left is known here.
+    call.deadline_ = TimePoint(microseconds(reader.next<std::int64_t>()));
+    call.attemptId_ = reader.next<std::string>();
+    call.service_ = reader.next<std::string>();
+    call.callerService_ = reader.next<std::string>();
+    call.method_ = reader.next<std::string>();
+    call.target_ = reader.next<std::string>();
+    call.headers_ = HeaderBlock(reader.next<std::string>());
+    call.body_ = reader.next<std::string>();
+    call.idempotent_ = reader.next<bool>();
+    call.rank_ = reader.next<int>();
+    call.goal_ = microseconds(reader.next<std::int64_t>());
+    return frame;
+}
+
+auto readReply(ArrayReader& reader) -> ReplyFrame
+{
+    ReplyFrame frame;
+    frame.id_ = reader.next<std::uint64_t>();
+    frame.configVersion_ = reader.next<std::uint64_t>();
+    auto& reply = frame.reply_;
+    const auto outcome = reader.next<int>();
+    const auto reason = reader.next<int>();
+    if (outcome < 0 || outcome > static_cast<int>(GateOutcome::Unknown) || reason < 0
+        || reason > static_cast<int>(GateReason::Stopping)) {
+        throw msgpack::type_error();
+    }
+    reply.outcome_ = static_cast<GateOutcome>(outcome);
+    reply.reason_ = static_cast<GateReason>(reason);
+    reply.arrived_ = reader.next<bool>();
+    reply.response_.status_ = reader.next<int>();
+    reply.response_.headers_ = HeaderBlock(reader.next<std::string>());
+    reply.response_.body_ = reader.next<std::string>();
+    reply.load_.running_ = reader.next<int>();
+    reply.load_.queued_ = reader.next<int>();
+    reply.load_.limit_ = reader.next<int>();
+    return frame;
+}
+
+auto readState(ArrayReader& reader) -> StateFrame
+{
+    StateFrame frame;
+    frame.configText_ = reader.next<std::string>();
+    auto entries = reader.nextArray();
+    while (entries.left() > 0) {
+        frame.entries_.push_back(readEntry(entries.nextArray()));
+    }
+    return frame;
+}
+
+auto readFrame(ArrayReader reader) -> Frame
+{
+    const auto type = reader.next<int>();
+    switch (type) {
+    case typeNumber<HelloFrame>(): {
+        HelloFrame frame;
+        frame.node_ = reader.next<std::string>();
+        frame.incarnation_ = reader.next<std::uint64_t>();
+        frame.configVersion_ = reader.next<std::uint64_t>();
+        return frame;
+    }
+    case typeNumber<CallFrame>():
+        return readCall(reader);
+    case typeNumber<ReplyFrame>():
+        return readReply(reader);
+    case typeNumber<CancelFrame>():
+        return CancelFrame { reader.next<std::uint64_t>() };
+    case typeNumber<FenceFrame>(): {
+        FenceFrame frame;
+        frame.id_ = reader.next<std::uint64_t>();
+        frame.incarnation_ = reader.next<std::uint64_t>();
+        frame.attemptId_ = reader.next<std::string>();
+        return frame;
+    }
+    case typeNumber<FenceReplyFrame>(): {
+        const auto id = reader.next<std::uint64_t>();
+        return FenceReplyFrame { id, reader.next<bool>() };
+    }
+    case typeNumber<PingFrame>():
+        return PingFrame {};
+    case typeNumber<PongFrame>():
+        return PongFrame {};
+    case typeNumber<StateRequestFrame>():
+        return StateRequestFrame { reader.next<std::uint64_t>() };
+    case typeNumber<StateFrame>():
+        return readState(reader);
+    case typeNumber<EntryFrame>():
+        return EntryFrame { readEntry(reader.nextArray()) };
+    default:
+        throw msgpack::type_error();
+    }
+}
+
+auto readLength(std::string_view bytes) -> std::size_t
+{
+    constexpr int byteBits = 8;
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < lengthBytes; ++i) {
+        length = (length << byteBits) | static_cast<unsigned char>(bytes[i]);
+    }
+    return length;
+}
+
+auto writeLength(std::string& out, std::size_t at, std::size_t length) -> void
+{
+    constexpr int byteBits = 8;
+    for (std::size_t i = 0; i < lengthBytes; ++i) {
+        out[at + lengthBytes - 1 - i] = static_cast<char>(length >> (byteBits * i));
+    }
+}
+
+} // namespace
+
+auto appendFrame(std::string& out, const Frame& frame) -> void
+{
+    const auto start = out.size();
+    out.append(lengthBytes, '\0');
+    StringStream stream { out };
+    std::visit(
+        [&](const auto& known) {
+            pack(stream, known);
+        },
+        frame);
+    writeLength(out, start, out.size() - start - lengthBytes);
+}
+
+auto takeFrame(std::string_view& bytes) -> Result<std::optional<Frame>>
+{
+    if (bytes.size() < lengthBytes) {
+        return std::optional<Frame>();
+    }
+    const auto length = readLength(bytes);
+    if (length > maxFrameBytes) {
+        return Error { ErrorCode::InvalidArgument,
+            "frame of " + std::to_string(length) + " bytes is longer than " + std::to_string(maxFrameBytes) };
+    }
+    if (bytes.size() - lengthBytes < length) {
+        return std::optional<Frame>();
+    }
+    const auto body = bytes.substr(lengthBytes, length);
+    bytes.remove_prefix(lengthBytes + length);
+    try {
+        const auto handle = msgpack::unpack(body.data(), body.size());
+        return std::optional<Frame>(readFrame(ArrayReader(handle.get())));
+    } catch (const std::exception& error) {
+        return Error { ErrorCode::InvalidArgument, std::string("frame cannot be read: ") + error.what() };
+    }
+}
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/link_frames.h
@@ -0,0 +1,78 @@
+/// The messages between nodes: MessagePack arrays behind a length of four bytes, most significant first.
+#pragma once
+
+#include "gate_types.h"
+#include "wagtailhead/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace wagtailhead {
+
+/// First frame of the accepting side.
+struct HelloFrame {
+    std::string node_;
+    std::uint64_t incarnation_ = 0; ///< Of the node's process.
+    std::uint64_t configVersion_ = 0; ///< 0 for none.
+};
+
+struct CallFrame {
+    std::uint64_t id_ = 0;
+    std::int64_t sentAtUs_ = 0; ///< In the sender's bootNow() time.
+    GateCall call_; ///< The deadline is carried as the time left.
+};
+
+struct ReplyFrame {
+    std::uint64_t id_ = 0;
+    std::uint64_t configVersion_ = 0;
+    GateReply reply_;
+};
+
+struct CancelFrame {
+    std::uint64_t id_ = 0;
+};
+
+/// "If this attempt has not been passed on, never pass it on."
+struct FenceFrame {
+    std::uint64_t id_ = 0;
+    std::uint64_t incarnation_ = 0; ///< Of the process to which the attempt was sent.
+    std::string attemptId_;
+};
+
+struct FenceReplyFrame {
+    std::uint64_t id_ = 0;
+    bool neverRuns_ = false;
+};
+
+struct PingFrame { };
+struct PongFrame { };
+
+/// Asks for what the other node knows.
+struct StateRequestFrame {
+    std::uint64_t configVersion_ = 0; ///< Of the asking node; the text comes only if it is older.
+};
+
+struct StateFrame {
+    std::string configText_; ///< Empty if the asking node's version is as new.
+    std::vector<NodeEntry> entries_;
+};
+
+/// A changed entry of the sender.
+struct EntryFrame {
+    NodeEntry entry_;
+};
+
+using Frame = std::variant<HelloFrame, CallFrame, ReplyFrame, CancelFrame, FenceFrame, FenceReplyFrame, PingFrame,
+    PongFrame, StateRequestFrame, StateFrame, EntryFrame>;
+
+/// Appends the frame with its length.
+auto appendFrame(std::string& out, const Frame& frame) -> void;
+
+/// Takes one frame off the front of `bytes`. Returns nothing if it is not there as a whole yet, and an
+/// error if the bytes are no frame.
+auto takeFrame(std::string_view& bytes) -> Result<std::optional<Frame>>;
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/link_server.cpp
@@ -0,0 +1,196 @@
+#include "link_server.h"
+
+#include "socket_options.h"
+#include "wagtailhead/log.h"
+
+#include <asio/ip/tcp.hpp>
+#include <limits>
+#include <unordered_set>
+
+namespace wagtailhead {
+
+namespace {
+
+constexpr int backlog = 512;
+
+/// One accepted link: the calls of one node.
+class Session : public std::enable_shared_from_this<Session> {
+public:
+    Session(asio::ip::tcp::socket socket, const LinkServerParts& parts, std::unordered_set<std::shared_ptr<Session>>& all)
+        : stream_(std::make_shared<FrameStream>(std::move(socket)))
+        , parts_(parts)
+        , all_(all)
+    {
+    }
+
+    auto start() -> void;
+
+private:
+    auto onFrame(Frame frame) -> void;
+    auto onCall(CallFrame frame) -> void;
+    auto onFence(const FenceFrame& frame) -> void;
+    auto onClosed(const std::string& reason) -> void;
+    auto deadlineOf(const CallFrame& frame) -> TimePoint;
+
+    std::shared_ptr<FrameStream> stream_;
+    const LinkServerParts& parts_;
+    std::unordered_set<std::shared_ptr<Session>>& all_;
+    std::unordered_map<std::uint64_t, Gate::TicketId> tickets_; ///< By call id of the sender.
+    /// The smallest difference between this node's and the sender's clock on arrival: a frame whose
+    /// difference is greater by some time has waited for it on the way.
+    Duration smallestOffset_ = Duration::max();
+};
+
+auto Session::start() -> void
+{
+    const std::weak_ptr<Session> weak = weak_from_this();
+    stream_->start({ [weak](Frame frame) {
+                        if (const auto self = weak.lock()) {
+                            self->onFrame(std::move(frame));
+                        }
+                    },
+        [weak](const std::string& reason) {
+            if (const auto self = weak.lock()) {
+                self->onClosed(reason);
+            }
+        } });
+    stream_->send(HelloFrame { parts_.node_, parts_.incarnation_, parts_.configVersion_() });
+}
+
+auto Session::onFrame(Frame frame) -> void
+{
+    if (auto* call = std::get_if<CallFrame>(&frame)) {
+        onCall(std::move(*call));
+    } else if (const auto* cancel = std::get_if<CancelFrame>(&frame)) {
+        const auto found = tickets_.find(cancel->id_);
+        if (found != tickets_.end()) {
+            const auto ticket = found->second;
+            tickets_.erase(found);
+            parts_.gate_.cancel(ticket);
+        }
+    } else if (const auto* fence = std::get_if<FenceFrame>(&frame)) {
+        onFence(*fence);
+    } else if (std::holds_alternative<PingFrame>(frame)) {
+        stream_->send(PongFrame {});
+    } else if (const auto* request = std::get_if<StateRequestFrame>(&frame)) {
+        stream_->send(parts_.state_(request->configVersion_));
+    } else if (const auto* entry = std::get_if<EntryFrame>(&frame)) {
+        parts_.onEntry_(entry->entry_);
+    }
+}
+
+auto Session::deadlineOf(const CallFrame& frame) -> TimePoint
+{
+    const auto now = bootNow();
+    const Duration offset = now.time_since_epoch() - microseconds(frame.sentAtUs_);
+    smallestOffset_ = std::min(smallestOffset_, offset);
+    const auto waited = offset - smallestOffset_;
+    return now + frame.call_.deadline_.time_since_epoch() - waited;
+}
+
+auto Session::onCall(CallFrame frame) -> void
+{
+    frame.call_.deadline_ = deadlineOf(frame);
+    const auto id = frame.id_;
+    auto answered = std::make_shared<bool>(false);
+    const auto ticket = parts_.gate_.submit(
+        std::move(frame.call_), [weak = weak_from_this(), id, answered](GateReply reply) {
+            *answered = true;
+            if (const auto self = weak.lock()) {
+                self->tickets_.erase(id);
+                self->stream_->send(ReplyFrame { id, self->parts_.configVersion_(), std::move(reply) });
+            }
+        });
+    if (!*answered) {
+        tickets_[id] = ticket;
+    }
+}
+
+auto Session::onFence(const FenceFrame& frame) -> void
+{
+    // Another process had the attempt; what it did with it is not known here.
+    const bool neverRuns = frame.incarnation_ == parts_.incarnation_ && parts_.gate_.fence(frame.attemptId_);
+    logEvent(LogLevel::Info, "fence",
+        { { "attempt", frame.attemptId_ }, { "never_runs", static_cast<int>(neverRuns) } });
+    stream_->send(FenceReplyFrame { frame.id_, neverRuns });
+}
+
+auto Session::onClosed(const std::string& reason) -> void
+{
+    logEvent(LogLevel::Info, "link_closed", { { "reason", reason }, { "calls", tickets_.size() } });
+    const auto self = shared_from_this();
+    for (const auto& [id, ticket] : std::exchange(tickets_, {})) {
+        parts_.gate_.cancel(ticket);
+    }
+    all_.erase(self);
+}
+
+class AsioLinkServer final : public LinkServer {
+public:
+    AsioLinkServer(asio::io_context& context, LinkServerParts parts)
+        : acceptor_(context)
+        , parts_(std::move(parts))
+    {
+    }
+
+    auto listen(const Address& address) -> Result<Done>;
+    auto accept() -> void;
+
+private:
+    asio::ip::tcp::acceptor acceptor_;
+    LinkServerParts parts_;
+    std::unordered_set<std::shared_ptr<Session>> sessions_;
+};
+
+auto AsioLinkServer::listen(const Address& address) -> Result<Done>
+{
+    asio::error_code error;
+    const auto endpoint = http1::endpointOf(address);
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error) {
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor_.listen(backlog, error);
+    }
+    if (error) {
+        return Error { ErrorCode::Unavailable, "cannot listen on " + address.text() + ": " + error.message() };
+    }
+    return Done {};
+}
+
+auto AsioLinkServer::accept() -> void
+{
+    acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            logEvent(LogLevel::Warning, "accept_failed", { { "error", error.message() } });
+        } else {
+            auto session = std::make_shared<Session>(std::move(socket), parts_, sessions_);
+            sessions_.insert(session);
+            session->start();
+        }
+        accept();
+    });
+}
+
+} // namespace
+
+auto LinkServer::open(asio::io_context& context, const Address& address, LinkServerParts parts)
+    -> Result<std::unique_ptr<LinkServer>>
+{
+    auto server = std::make_unique<AsioLinkServer>(context, std::move(parts));
+    auto listening = server->listen(address);
+    if (!isOk(listening)) {
+        return errorOf(listening);
+    }
+    server->accept();
+    return std::unique_ptr<LinkServer>(std::move(server));
+}
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/sidecar.cpp
@@ -0,0 +1,479 @@
+#include "wagtailhead/sidecar.h"
+
+#include "caller_entry.h"
+#include "entry_publisher.h"
+#include "kind_watch.h"
+#include "link_server.h"
+#include "report_server.h"
+#include "wagtailhead/log.h"
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+
+namespace wagtailhead {
+
+namespace {
+
+/// How often deadlines, idle connections and silent links are checked.
+constexpr Duration tickInterval = milliseconds(50);
+/// The slower checks run on each n-th tick.
+constexpr int slowTicks = 4;
+/// A node behind in configuration asks a peer at most this often.
+constexpr Duration stateRequestInterval = milliseconds(300);
+/// A stopping node serves at least this long, so that callers have seen that it is not ready any more.
+constexpr Duration stopNotice = milliseconds(2500);
+/// The part of the stop time after which the node ends even with requests in flight.
+constexpr double stopTimePart = 0.9;
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+auto nowMicroseconds() -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<microseconds>(WallClock::now().time_since_epoch()).count());
+}
+
+} // namespace
+
+/// Owns all parts, in the order in which they depend on each other.
+class SidecarProcess final : public Sidecar {
+public:
+    SidecarProcess(SidecarSettings settings, PlatformInterface platform, const HeaderNames& headers);
+
+    auto open() -> Result<Done>;
+    auto run() -> void override;
+
+private:
+    auto openListeners() -> Result<Done>;
+    auto startWatches() -> void;
+    auto onConfigurationObject(const StoredObject& object) -> void;
+    auto adopt(const std::string& text, const char* source) -> void;
+    auto onNodeList(const std::vector<StoredObject>& objects) -> void;
+    auto onNodeChange(const StoredChange& change) -> void;
+    auto applyEntry(const StoredObject& object) -> void;
+    auto learnEntry(const NodeEntry& entry) -> void;
+    auto onOwnEntry(const NodeEntry& entry) -> void;
+    auto onBelief() -> void;
+    auto publish(std::function<void()> onWritten) -> void;
+    auto onPeerVersion(const std::string& node, std::uint64_t version) -> void;
+    auto onState(const StateFrame& state) -> void;
+    auto stateFor(std::uint64_t knownVersion) const -> StateFrame;
+    auto onReadinessRequest(const http1::Request& request, const std::shared_ptr<http1::Exchange>& exchange) -> void;
+    auto isReady() const -> bool;
+    auto version() const -> std::uint64_t
+    {
+        return configuration_ ? configuration_->version() : 0;
+    }
+    auto waitForSignal() -> void;
+    auto beginStop() -> void;
+    auto checkStopped() -> void;
+    auto tick() -> void;
+
+    const SidecarSettings settings_;
+    const PlatformInterface platform_;
+    const HeaderNames headers_;
+    const std::uint64_t incarnation_ = nowMicroseconds();
+    asio::io_context context_ { 1 };
+    asio::signal_set signals_;
+    asio::steady_timer timer_;
+    Directory directory_;
+    BackendReports reports_;
+    NodeEntry own_;
+    SiteConfigurationPtr configuration_;
+    std::shared_ptr<http1::Pool> backendPool_;
+    Gate gate_;
+    LinkClient links_;
+    CallerEntry entry_;
+    std::unique_ptr<ObjectStore> store_;
+    std::shared_ptr<EntryPublisher> publisher_;
+    std::shared_ptr<KindWatch> configurationWatch_;
+    std::shared_ptr<KindWatch> nodeWatch_;
+    std::unique_ptr<LinkServer> linkServer_;
+    std::shared_ptr<http1::Listener> callers_;
+    std::shared_ptr<http1::Listener> readiness_;
+    std::unique_ptr<ReportServer> reportServer_;
+    bool nodesKnown_ = false; ///< A list of nodes has been read, so the own earlier entry is known.
+    bool stopping_ = false;
+    TimePoint stopStarted_;
+    TimePoint nextStateRequest_;
+    int ticks_ = 0;
+};
+
+SidecarProcess::SidecarProcess(SidecarSettings settings, PlatformInterface platform, const HeaderNames& headers)
+    : settings_(std::move(settings))
+    , platform_(std::move(platform))
+    , headers_(headers)
+    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+    , timer_(context_)
+    , directory_({ settings_.node_, settings_.zone_, settings_.region_, settings_.seed_ })
+    , reports_(settings_.service_)
+    , backendPool_(http1::Pool::create(context_, { .server_ = settings_.backend_ }))
+    , gate_({ .service_ = settings_.service_, .headers_ = headers_ }, backendPool_)
+    , links_(context_,
+          { [this](const std::string& node, std::uint64_t version) {
+               onPeerVersion(node, version);
+           },
+              [this](const std::string&, const StateFrame& state) {
+                  onState(state);
+              } })
+    , entry_({ settings_.node_, settings_.service_, headers_, settings_.retryShare_, settings_.retryBurst_ },
+          { directory_, links_, gate_,
+              [this] {
+                  return configuration_;
+              } },
+          settings_.seed_ + 1)
+{
+    own_.node_ = settings_.node_;
+    own_.zone_ = settings_.zone_;
+    own_.region_ = settings_.region_;
+    own_.service_ = settings_.service_;
+    own_.link_ = settings_.link_;
+}
+
+auto SidecarProcess::open() -> Result<Done>
+{
+    store_ = platform_.openStore_(context_, settings_.store_);
+    publisher_ = std::make_shared<EntryPublisher>(context_, *store_);
+    auto links = LinkServer::open(context_, settings_.link_,
+        { settings_.node_, incarnation_, gate_,
+            [this] {
+                return version();
+            },
+            [this](std::uint64_t known) {
+                return stateFor(known);
+            },
+            [this](const NodeEntry& entry) {
+                learnEntry(entry);
+            } });
+    if (!isOk(links)) {
+        return errorOf(links);
+    }
+    linkServer_ = valueOf(std::move(links));
+    return openListeners();
+}
+
+auto SidecarProcess::openListeners() -> Result<Done>
+{
+    auto callers = http1::Listener::open(
+        context_, settings_.callers_, {}, [this](http1::Request request, std::shared_ptr<http1::Exchange> exchange) {
+            entry_.onRequest(std::move(request), std::move(exchange));
+        });
+    if (!isOk(callers)) {
+        return errorOf(callers);
+    }
+    callers_ = valueOf(std::move(callers));
+    auto readiness = http1::Listener::open(context_, settings_.readiness_, {},
+        [this](const http1::Request& request, const std::shared_ptr<http1::Exchange>& exchange) {
+            onReadinessRequest(request, exchange);
+        });
+    if (!isOk(readiness)) {
+        return errorOf(readiness);
+    }
+    readiness_ = valueOf(std::move(readiness));
+    auto reports = ReportServer::open(context_, settings_.reports_,
+        { platform_.decodeReport_, platform_.reportAnswer_, reports_,
+            [this](std::function<void()> onWritten) {
+                onBelief();
+                publish(std::move(onWritten));
+            },
+            [this] {
+                return nodesKnown_;
+            } });
+    if (!isOk(reports)) {
+        return errorOf(reports);
+    }
+    reportServer_ = valueOf(std::move(reports));
+    return Done {};
+}
+
+auto SidecarProcess::run() -> void
+{
+    logEvent(LogLevel::Info, "started",
+        { { "node", settings_.node_ }, { "incarnation", incarnation_ }, { "zone", settings_.zone_ },
+            { "service", settings_.service_ }, { "callers", settings_.callers_.text() },
+            { "first_start", static_cast<int>(settings_.firstStart_) } });
+    waitForSignal();
+    startWatches();
+    tick();
+    context_.run();
+    logEvent(LogLevel::Info, "stopped", { { "node", settings_.node_ } });
+}
+
+auto SidecarProcess::startWatches() -> void
+{
+    configurationWatch_ = std::make_shared<KindWatch>(context_, *store_, platform_.configurationKind_,
+        settings_.seed_ + 2,
+        KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
+                             for (const auto& object : objects) {
+                                 onConfigurationObject(object);
+                             }
+                         },
+            [this](const StoredChange& change) {
+                if (!change.deleted_) {
+                    onConfigurationObject(change.object_);
+                }
+            },
+            nullptr });
+    nodeWatch_ = std::make_shared<KindWatch>(context_, *store_, nodeKind, settings_.seed_ + 3,
+        KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
+                             onNodeList(objects);
+                         },
+            [this](const StoredChange& change) {
+                onNodeChange(change);
+            },
+            nullptr });
+    configurationWatch_->start();
+    nodeWatch_->start();
+}
+
+auto SidecarProcess::onConfigurationObject(const StoredObject& object) -> void
+{
+    if (object.name_ == platform_.configurationName_) {
+        adopt(object.value_, "store");
+    }
+}
+
+auto SidecarProcess::adopt(const std::string& text, const char* source) -> void
+{
+    auto decoded = platform_.decodeConfiguration_(text);
+    if (!isOk(decoded)) {
+        logEvent(LogLevel::Error, "configuration_refused",
+            { { "source", source }, { "error", errorOf(decoded).text_ } });
+        return;
+    }
+    const auto& configuration = valueOf(decoded);
+    if (configuration->version() <= version()) {
+        return;
+    }
+    logEvent(LogLevel::Info, "configuration_adopted",
+        { { "source", source }, { "version", configuration->version() }, { "before", version() },
+            { "routes", configuration->routes().size() } });
+    configuration_ = configuration;
+    const auto& limits = configuration->limits();
+    callers_->setLimits({ { limits.headerBytes_, limits.bodyBytes_ }, limits.headerTimeout_, limits.idleTimeout_ });
+    if (const auto* service = configuration->service(settings_.service_)) {
+        gate_.setMaxConnections(service->maxConnections_);
+    }
+}
+
+auto SidecarProcess::onNodeList(const std::vector<StoredObject>& objects) -> void
+{
+    std::vector<std::string> names;
+    bool ownSeen = false;
+    for (const auto& object : objects) {
+        applyEntry(object);
+        names.push_back(object.name_);
+        ownSeen = ownSeen || object.name_ == settings_.node_;
+    }
+    for (const auto& entry : directory_.entries()) {
+        if (entry.node_ != settings_.node_ && std::find(names.begin(), names.end(), entry.node_) == names.end()) {
+            directory_.remove(entry.node_);
+        }
+    }
+    if (!ownSeen) {
+        publisher_->onMissing();
+    }
+    nodesKnown_ = true;
+    publish(nullptr);
+}
+
+auto SidecarProcess::onNodeChange(const StoredChange& change) -> void
+{
+    if (!change.deleted_) {
+        applyEntry(change.object_);
+    } else if (change.object_.name_ != settings_.node_) {
+        directory_.remove(change.object_.name_);
+    }
+}
+
+auto SidecarProcess::applyEntry(const StoredObject& object) -> void
+{
+    const auto entry = parseEntry(object.name_, object.value_);
+    if (!isOk(entry)) {
+        logEvent(LogLevel::Warning, "entry_refused", { { "error", errorOf(entry).text_ } });
+        return;
+    }
+    if (object.name_ == settings_.node_) {
+        publisher_->onSeen(object);
+        onOwnEntry(valueOf(entry));
+        return;
+    }
+    learnEntry(valueOf(entry));
+}
+
+auto SidecarProcess::learnEntry(const NodeEntry& entry) -> void
+{
+    if (entry.node_ != settings_.node_ && directory_.apply(entry)) {
+        logEvent(LogLevel::Info, "node_changed",
+            { { "node", entry.node_ }, { "service", entry.service_ }, { "phase", backendPhaseName(entry.phase_) },
+                { "backend", entry.backendId_ }, { "generation", entry.generation_ } });
+    }
+}
+
+auto SidecarProcess::onOwnEntry(const NodeEntry& entry) -> void
+{
+    own_.generation_ = std::max(own_.generation_, entry.generation_);
+    if (!nodesKnown_ && reports_.belief().phase_ == BackendPhase::Unknown && reports_.belief().id_.empty()) {
+        reports_.restore(entry);
+        onBelief();
+    }
+}
+
+auto SidecarProcess::onBelief() -> void
+{
+    const auto& belief = reports_.belief();
+    logEvent(LogLevel::Info, "backend_changed",
+        { { "backend", belief.id_ }, { "born_ms", belief.bornMs_ }, { "phase", backendPhaseName(belief.phase_) },
+            { "capacity", belief.capacity_ }, { "sequence", belief.sequence_ } });
+    gate_.setInstance({ belief.id_, belief.bornMs_,
+        belief.address_.port_ == 0 ? settings_.backend_ : belief.address_, belief.capacity_, belief.phase_ });
+}
+
+auto SidecarProcess::publish(std::function<void()> onWritten) -> void
+{
+    const auto& belief = reports_.belief();
+    auto entry = own_;
+    entry.capacity_ = belief.capacity_;
+    entry.backendId_ = belief.id_;
+    entry.backendBornMs_ = belief.bornMs_;
+    entry.phase_ = stopping_ ? std::max(belief.phase_, BackendPhase::Draining) : belief.phase_;
+    const auto* published = directory_.find(settings_.node_);
+    entry.generation_ = published == nullptr ? 0 : published->generation_;
+    if (published == nullptr || !(entry == *published)) {
+        entry.generation_ = std::max(own_.generation_, entry.generation_) + 1;
+        own_.generation_ = entry.generation_;
+        directory_.apply(entry);
+        links_.announce(entry);
+    }
+    if (nodesKnown_) {
+        publisher_->publish(entry, std::move(onWritten));
+    }
+}
+
+auto SidecarProcess::onPeerVersion(const std::string& node, std::uint64_t peerVersion) -> void
+{
+    const auto now = Clock::now();
+    if (peerVersion <= version() || now < nextStateRequest_) {
+        return;
+    }
+    nextStateRequest_ = now + stateRequestInterval;
+    if (const auto* entry = directory_.find(node)) {
+        links_.requestState(*entry, version());
+    }
+}
+
+auto SidecarProcess::onState(const StateFrame& state) -> void
+{
+    if (!state.configText_.empty()) {
+        adopt(state.configText_, "peer");
+    }
+    for (const auto& entry : state.entries_) {
+        learnEntry(entry);
+    }
+}
+
+auto SidecarProcess::stateFor(std::uint64_t knownVersion) const -> StateFrame
+{
+    StateFrame state;
+    if (configuration_ && knownVersion < version()) {
+        state.configText_ = configuration_->text();
+    }
+    state.entries_ = directory_.entries();
+    return state;
+}
+
+auto SidecarProcess::isReady() const -> bool
+{
+    return configuration_ && nodesKnown_ && !stopping_;
+}
+
+auto SidecarProcess::onReadinessRequest(
+    const http1::Request& request, const std::shared_ptr<http1::Exchange>& exchange) -> void
+{
+    http1::Response response;
+    if (request.target_ == platform_.readinessPath_) {
+        response.status_ = isReady() ? statusOk : statusUnavailable;
+    } else {
+        response.status_ = statusNotFound;
+    }
+    exchange->respond(std::move(response));
+}
+
+auto SidecarProcess::waitForSignal() -> void
+{
+    signals_.async_wait([this](const asio::error_code& error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            logEvent(LogLevel::Info, "reload", { { "node", settings_.node_ } });
+        } else {
+            beginStop();
+        }
+        waitForSignal();
+    });
+}
+
+auto SidecarProcess::beginStop() -> void
+{
+    if (std::exchange(stopping_, true)) {
+        return;
+    }
+    logEvent(LogLevel::Info, "stopping",
+        { { "requests", entry_.inFlight() }, { "backend_requests", gate_.inFlight() } });
+    stopStarted_ = Clock::now();
+    callers_->startClosing();
+    gate_.stopAdmitting();
+    publish(nullptr);
+}
+
+auto SidecarProcess::checkStopped() -> void
+{
+    const auto spent = Clock::now() - stopStarted_;
+    const bool idle = entry_.inFlight() == 0 && gate_.inFlight() == 0;
+    const auto longest = std::chrono::duration_cast<Duration>(settings_.stopTime_ * stopTimePart);
+    if ((idle && spent > stopNotice) || spent > longest) {
+        callers_->stop();
+        context_.stop();
+    }
+}
+
+auto SidecarProcess::tick() -> void
+{
+    const auto now = Clock::now();
+    entry_.tick();
+    if (++ticks_ % slowTicks == 0) {
+        gate_.tick();
+        backendPool_->tick(now);
+        links_.tick(now);
+        callers_->tick(now);
+        readiness_->tick(now);
+        reportServer_->tick(now);
+        store_->tick(now);
+    }
+    if (stopping_) {
+        checkStopped();
+    }
+    timer_.expires_after(tickInterval);
+    timer_.async_wait([this](const asio::error_code& error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+auto Sidecar::start(SidecarSettings settings, PlatformInterface platform, const HeaderNames& headers)
+    -> Result<std::unique_ptr<Sidecar>>
+{
+    auto process = std::make_unique<SidecarProcess>(std::move(settings), std::move(platform), headers);
+    auto opened = process->open();
+    if (!isOk(opened)) {
+        return errorOf(opened);
+    }
+    return std::unique_ptr<Sidecar>(std::move(process));
+}
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/wagtailhead-sidecar/main.cpp
@@ -0,0 +1,64 @@
+#include "platform.h"
+#include "wagtailhead/log.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace {
+
+constexpr auto program = "wagtailhead-sidecar";
+
+constexpr auto usage = R"(The wagtailhead process beside a backend server on the users' platform.
+
+Usage:
+  wagtailhead-sidecar [options]
+  wagtailhead-sidecar --help
+  wagtailhead-sidecar --version
+
+The platform's settings are read from the file that the environment variable
+WAGTAILHEAD_BOOT names.
+
+Options: (environment variables WAGTAILHEAD_<OPTION> are read as defaults)
+  --log-level=LEVEL  debug, info, warning or error [info if not set].
+  --seed=N           Seed of all random choices; 0 or unset takes one from the system.
+  -h --help          Show this text.
+  --version          Show the version.
+)";
+
+auto readFile(const std::string& path) -> wagtailhead::Result<std::string>
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        return wagtailhead::Error { wagtailhead::ErrorCode::NotFound, "cannot read settings file " + path };
+    }
+    return text.str();
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    using namespace wagtailhead;
+    const auto flags = Settings::fromCommandLine(usage, argc, argv);
+    initLog(program, require(program, parseLogLevel(flags.text("log-level", "info"))));
+    const auto* path = std::getenv(platform::settingsVariable);
+    if (path == nullptr) {
+        exitWithUsageError(program, std::string(platform::settingsVariable) + " is not set");
+    }
+    auto settings = require(program, platform::parseSettings(require(program, readFile(path))));
+    settings.seed_ = static_cast<std::uint64_t>(require(program, flags.integer("seed", 0, 0, INT64_MAX)));
+    if (settings.seed_ == 0) {
+        settings.seed_ = std::random_device {}();
+    }
+    auto sidecar = Sidecar::start(std::move(settings), platform::interface(), platform::headerNames());
+    if (!isOk(sidecar)) {
+        logEvent(LogLevel::Error, "start_failed", { { "error", errorOf(sidecar).text_ } });
+        return 1;
+    }
+    valueOf(sidecar)->run();
+    return 0;
+}
