feat(sidecar): shed at the root by levels of deep services; keep the backend server's phase over a node's stop

A stopping node published its backend server as draining and took that belief over at its next start, so that after a rolling restart no backend server was used. Options given by place put the budget's slack where its share belongs, so that repeats had no bound. Change: gates report a level that follows waiting and refusals; it passes up over routes that only backend servers use, and callers' nodes refuse the least important ranks first. Entries carry 'accepting' apart from the phase.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -36,6 +36,7 @@
     std::string backendId_; ///< Empty before the first report.
     std::uint64_t backendBornMs_ = 0; ///< Start of the backend server, Unix time.
     BackendPhase phase_ = BackendPhase::Unknown;
+    bool accepting_ = true; ///< False while the node itself is about to end.
     std::uint64_t generation_ = 0; ///< Grows with each change of the entry.
 
     auto operator==(const NodeEntry&) const -> bool = default;
@@ -46,6 +47,7 @@
     int running_ = 0;
     int queued_ = 0;
     int limit_ = 0;
+    double level_ = 0; ///< How much less important work to refuse (see ShedLevel).
 };
 
 struct DirectoryOptions {
@@ -78,6 +80,9 @@
     auto pick(std::string_view service, const std::vector<std::string>& tried, TimePoint now)
         -> std::optional<NodeEntry>;
 
+    /// Returns the share of the nodes that each service has.
+    auto nodeShares() const -> std::map<std::string, double>;
+
     /// Counts a request that is sent to a node and, with `ended`, one that has ended there.
     auto started(const std::string& node) -> void;
     auto ended(const std::string& node) -> void;
--- a/src/include/wagtailhead/site_configuration.h
+++ b/src/include/wagtailhead/site_configuration.h
@@ -56,6 +56,9 @@
 
     auto service(std::string_view name) const -> const SiteService*;
 
+    /// Returns how many less important ranks the routes use.
+    auto ranksBelow(int rank) const -> int;
+
     /// A newer version has a greater number.
     auto version() const -> std::uint64_t
     {
@@ -81,6 +84,7 @@
     std::vector<SiteRoute> routes_;
     std::vector<SiteService> services_;
     CallerLimits limits_;
+    std::vector<int> ranks_; ///< In use, the least important first.
     std::unordered_map<std::string, std::size_t> byHostAndPrefix_;
 };
 
--- a/src/libsidecar/caller_entry.cpp
+++ b/src/libsidecar/caller_entry.cpp
@@ -27,8 +27,8 @@
 constexpr double retryAfterShare = 0.3;
 constexpr Duration longestRetryAfter = seconds(1);
 constexpr Duration assumedCallerTime = seconds(30);
-/// The part of the site's retry budget that the nodes use; the rest covers repeats at the edge of a window.
-constexpr double usedBudgetPart = 0.5;
+/// Above this level a service fails for want of room, and repeats make it worse.
+constexpr ShedLevel overloadLevel = 0.1;
 
 auto parseMilliseconds(std::string_view text) -> std::optional<Duration>
 {
@@ -108,6 +108,11 @@
             self->onGone();
         }
     });
+    if (entry_.shouldShed(*configuration_, *route_, service_)) {
+        ++entry_.stats_.shed_;
+        refuse("shed");
+        return;
+    }
     entry_.budgetOf(service_).onFirstTry();
     attempt();
 }
@@ -147,6 +152,7 @@
 {
     GateCall call;
     call.attemptId_ = attemptId_;
+    call.route_ = route_->name_;
     call.service_ = service_;
     call.callerService_ = entry_.options_.service_;
     call.method_ = request_.method_;
@@ -245,12 +251,15 @@
     auto& directory = entry_.parts_.directory_;
     directory.ended(current_->node_);
     directory.onLoad(current_->node_, reply.load_);
+    entry_.takeReply(current_->node_, service_, *route_, reply);
     switch (reply.outcome_) {
     case GateOutcome::Answered:
         onAnswered(std::move(reply));
         return;
     case GateOutcome::NotRun:
-        if (reply.reason_ != GateReason::Busy && reply.reason_ != GateReason::Expired) {
+        if (reply.arrived_) {
+            directory.onFailure(current_->node_, Clock::now());
+        } else if (reply.reason_ != GateReason::Busy && reply.reason_ != GateReason::Expired) {
             directory.onUnavailable(current_->node_, Clock::now());
         }
         onNotRun(reply);
@@ -265,6 +274,7 @@
 auto CallerEntry::Operation::mayRepeat() -> bool
 {
     return arrivals_ < route_->maxAttempts_ && deadline_ - bootNow() > leastAttemptTime
+        && entry_.levels_.of(service_, Clock::now()) < overloadLevel
         && entry_.budgetOf(service_).tryTake();
 }
 
@@ -444,12 +454,36 @@
     auto& budget = budgets_[service];
     if (!budget) {
         const auto nodes = static_cast<double>(std::max<std::size_t>(parts_.directory_.size(), 1));
-        const double burst = std::max(options_.retryBurst_ * usedBudgetPart / nodes, 1.0);
-        budget = std::make_unique<RetryBudget>(RetryBudgetOptions { options_.retryShare_ * usedBudgetPart, burst });
+        const double burst = std::max(options_.retryBurst_ * options_.retryPart_ / nodes, 1.0);
+        budget = std::make_unique<RetryBudget>(RetryBudgetOptions { options_.retryShare_ * options_.retryPart_, burst });
     }
     return *budget;
 }
 
+auto CallerEntry::takeReply(
+    const std::string& node, const std::string& service, const SiteRoute& route, const GateReply& reply) -> void
+{
+    const auto now = Clock::now();
+    levels_.take(service, node, reply.load_.level_, now);
+    if (reply.fromBackend_) {
+        calledLevels_.take(service, node, reply.load_.level_, now);
+        callRoutes_.insert(route.name_);
+    } else {
+        callRoutes_.erase(route.name_);
+    }
+}
+
+auto CallerEntry::shouldShed(
+    const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool
+{
+    const auto level = levels_.of(service, Clock::now());
+    if (level <= 0 || callRoutes_.count(route.name_) > 0) {
+        return false;
+    }
+    const double share = refusedShare(level, configuration.ranksBelow(route.rank_));
+    return share > 0 && std::uniform_real_distribution<>(0, 1)(random_) < share;
+}
+
 auto CallerEntry::chooseDestination(const SiteRoute& route) -> const std::string&
 {
     if (route.destinations_.size() == 1) {
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -4,6 +4,7 @@
 #include "gate.h"
 #include "http1_listener.h"
 #include "link_client.h"
+#include "shed_level.h"
 #include "wagtailhead/directory.h"
 #include "wagtailhead/retry.h"
 #include "wagtailhead/site_configuration.h"
@@ -18,6 +19,9 @@
     std::string node_;
     std::string service_; ///< Of this VM; told to backend servers as the caller's service.
     HeaderNames headers_;
+    /// The part of the site's retry budget that repeats at one hop may use. The calls of a repeated run
+    /// count as repeats where they arrive, so the hops of a chain share the budget.
+    double retryPart_ = 0.2;
     double retryShare_ = 0.1; ///< Extra arrivals for each first one, over all nodes.
     double retryBurst_ = 10; ///< Extra arrivals beyond the share, over all nodes.
 };
@@ -34,6 +38,7 @@
     std::uint64_t answered_ = 0;
     std::uint64_t refused_ = 0; ///< 503: not run.
     std::uint64_t failed_ = 0; ///< 502 and 504.
+    std::uint64_t shed_ = 0; ///< Part of refused_: for the load of a service.
     std::uint64_t noRoute_ = 0;
     std::uint64_t retries_ = 0;
     std::uint64_t cancelled_ = 0;
@@ -52,6 +57,12 @@
     /// Answers requests whose time is over. Call it every 50 ms or so.
     auto tick() -> void;
 
+    /// The level of the services that the backend server of this VM calls.
+    auto downstreamLevel() const -> ShedLevel
+    {
+        return calledLevels_.highest(Clock::now());
+    }
+
     auto inFlight() const -> std::size_t
     {
         return operations_.size();
@@ -66,6 +77,9 @@
     friend class Operation;
 
     auto budgetOf(const std::string& service) -> RetryBudget&;
+    auto takeReply(const std::string& node, const std::string& service, const SiteRoute& route, const GateReply& reply)
+        -> void;
+    auto shouldShed(const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool;
     auto chooseDestination(const SiteRoute& route) -> const std::string&;
 
     CallerEntryOptions options_;
@@ -73,6 +87,9 @@
     std::mt19937_64 random_;
     std::map<std::string, std::unique_ptr<RetryBudget>> budgets_; ///< By service.
     std::set<std::pair<TimePoint, std::shared_ptr<Operation>>> operations_; ///< By deadline.
+    ReportedLevels levels_; ///< Of all services.
+    ReportedLevels calledLevels_; ///< Of the services that the backend server of this VM calls.
+    std::set<std::string> callRoutes_; ///< Routes that only backend servers use.
     CallerEntryStats stats_;
 };
 
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -92,6 +92,15 @@
     });
 }
 
+auto Directory::nodeShares() const -> std::map<std::string, double>
+{
+    std::map<std::string, double> shares;
+    for (const auto& [name, known] : nodes_) {
+        shares[known.entry_.service_] += 1.0 / static_cast<double>(nodes_.size());
+    }
+    return shares;
+}
+
 auto Directory::score(const Known& known) -> double
 {
     const double capacity = std::max(known.entry_.capacity_ > 0 ? known.entry_.capacity_ : assumedCapacity, 1);
@@ -114,6 +123,7 @@
     double bestScore = 0;
     for (const auto& [name, known] : nodes_) {
         if (known.entry_.service_ != service || known.entry_.phase_ != BackendPhase::Ready
+            || !known.entry_.accepting_
             || std::find(tried.begin(), tried.end(), name) != tried.end()) {
             continue;
         }
--- a/src/libsidecar/entry_publisher.cpp
+++ b/src/libsidecar/entry_publisher.cpp
@@ -21,6 +21,7 @@
     entry.capacity_ = json.at("capacity").get<int>();
     entry.backendId_ = json.at("backend").get<std::string>();
     entry.backendBornMs_ = json.at("born").get<std::uint64_t>();
+    entry.accepting_ = json.at("accepting").get<bool>();
     entry.generation_ = json.at("generation").get<std::uint64_t>();
     const auto phase = parseBackendPhase(json.at("phase").get<std::string>());
     const auto link = parseAddress(json.at("link").get<std::string>());
@@ -39,7 +40,8 @@
     return nlohmann::json { { "node", entry.node_ }, { "zone", entry.zone_ }, { "region", entry.region_ },
         { "service", entry.service_ }, { "link", entry.link_.text() }, { "capacity", entry.capacity_ },
         { "backend", entry.backendId_ }, { "born", entry.backendBornMs_ },
-        { "phase", backendPhaseName(entry.phase_) }, { "generation", entry.generation_ } }
+        { "phase", backendPhaseName(entry.phase_) }, { "accepting", entry.accepting_ },
+        { "generation", entry.generation_ } }
         .dump();
 }
 
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -60,7 +60,8 @@
 
 auto Gate::limit() const -> int
 {
-    const int capacity = instance_.capacity_ > 0 ? instance_.capacity_ : assumedCapacity;
+    const int slots = instance_.capacity_ > 0 ? instance_.capacity_ : assumedCapacity;
+    const int capacity = std::max(static_cast<int>(slots * options_.usedSlotShare_), 1);
     return maxConnections_ > 0 ? std::min(capacity, static_cast<int>(maxConnections_)) : capacity;
 }
 
@@ -94,18 +95,24 @@
     }
     if (running_ >= limit()) {
         const auto bound = std::chrono::duration_cast<Duration>(call.goal_ * options_.queueShare_);
-        if (expectedWait(call.rank_) > bound) {
+        if (expectedWait(placeOf(call)) > bound) {
             return GateReason::Busy;
         }
     }
     return GateReason::None;
 }
 
-auto Gate::expectedWait(int rank) const -> Duration
+auto Gate::placeOf(const GateCall& call) const -> int
+{
+    // Work has been done already for a request that waits for a call.
+    return origins_.isCall(call.route_) ? -1 : call.rank_;
+}
+
+auto Gate::expectedWait(int place) const -> Duration
 {
     std::size_t ahead = 0;
-    for (const auto& [waitingRank, tickets] : queue_) {
-        if (waitingRank <= rank) {
+    for (const auto& [waitingPlace, tickets] : queue_) {
+        if (waitingPlace <= place) {
             ahead += tickets.size();
         }
     }
@@ -114,6 +121,9 @@
 
 auto Gate::submit(GateCall call, GateCallback callback) -> TicketId
 {
+    origins_.count(call.route_, call.callerService_);
+    level_.onArrival();
+    const bool fromBackend = origins_.isCall(call.route_);
     auto refusal = refusalFor(call);
     if (!call.idempotent_ && refusal == GateReason::None) {
         const auto known = records_.find(call.attemptId_);
@@ -123,8 +133,12 @@
     }
     if (refusal != GateReason::None) {
         ++stats_.refused_;
+        if (refusal == GateReason::Busy) {
+            level_.onRefused();
+        }
         auto reply = refusal == GateReason::Duplicate ? unknown(refusal) : notRun(refusal);
         reply.load_ = load();
+        reply.fromBackend_ = fromBackend;
         callback(std::move(reply));
         return 0;
     }
@@ -133,6 +147,7 @@
     ticket->call_ = std::move(call);
     ticket->callback_ = std::move(callback);
     ticket->arrived_ = bootNow();
+    ticket->place_ = placeOf(ticket->call_);
     tickets_[ticket->id_] = ticket;
     if (!ticket->call_.idempotent_) {
         records_[ticket->call_.attemptId_]
@@ -144,7 +159,7 @@
         start(ticket);
     } else {
         ++waiting_;
-        queue_[ticket->call_.rank_].push_back(ticket);
+        queue_[ticket->place_].push_back(ticket);
     }
     return id;
 }
@@ -172,7 +187,7 @@
             dropWaiting(next, GateReason::Expired);
             continue;
         }
-        queue_[next->call_.rank_].pop_front();
+        queue_[next->place_].pop_front();
         --waiting_;
         start(next);
     }
@@ -180,7 +195,7 @@
 
 auto Gate::dropWaiting(const TicketPtr& ticket, GateReason reason) -> void
 {
-    auto& tickets = queue_[ticket->call_.rank_];
+    auto& tickets = queue_[ticket->place_];
     const auto found = std::find(tickets.begin(), tickets.end(), ticket);
     if (found == tickets.end()) {
         return;
@@ -189,6 +204,9 @@
     --waiting_;
     records_.erase(ticket->call_.attemptId_);
     ++stats_.refused_;
+    if (!ticket->abandoned_) {
+        level_.onRefused();
+    }
     finish(ticket, notRun(reason));
 }
 
@@ -211,6 +229,7 @@
     auto& call = ticket->call_;
     ticket->running_ = true;
     ticket->sent_ = bootNow();
+    level_.onStarted(ticket->sent_ - ticket->arrived_);
     ++running_;
     if (!call.idempotent_) {
         records_[call.attemptId_].record_ = Record::Passed;
@@ -303,6 +322,7 @@
         return;
     }
     reply.load_ = load();
+    reply.fromBackend_ = origins_.isCall(ticket->call_.route_);
     auto callback = std::exchange(ticket->callback_, nullptr);
     callback(std::move(reply));
 }
@@ -372,6 +392,11 @@
     startWaiting();
 }
 
+auto Gate::judgeOrigins(const std::map<std::string, double>& nodeShares) -> void
+{
+    origins_.judge(nodeShares);
+}
+
 auto Gate::tick() -> void
 {
     const auto now = bootNow();
@@ -390,6 +415,7 @@
         dropWaiting(ticket, reason);
     }
     startWaiting();
+    level_.update(static_cast<double>(running_) / limit(), now);
     if (now >= nextRecordSweep_) {
         nextRecordSweep_ = now + recordSweepInterval;
         expireRecords(now);
@@ -405,7 +431,7 @@
 
 auto Gate::load() const -> GateLoad
 {
-    return { running_, waiting_, limit() };
+    return { running_, waiting_, limit(), std::max(level_.level(), downstreamLevel_) };
 }
 
 } // namespace wagtailhead
--- a/src/libsidecar/gate.h
+++ b/src/libsidecar/gate.h
@@ -4,6 +4,8 @@
 #include "gate_types.h"
 #include "header_names.h"
 #include "http1_pool.h"
+#include "route_origins.h"
+#include "shed_level.h"
 #include "wagtailhead/boot_clock.h"
 
 #include <deque>
@@ -18,6 +20,8 @@
     HeaderNames headers_;
     /// Longest wait in the queue as a share of the latency objective.
     double queueShare_ = 0.4;
+    /// The share of the backend server's slots in use at most; it slows down when it is nearly full.
+    double usedSlotShare_ = 0.93;
     /// How long the record of a request that may run once outlives its deadline.
     Duration recordSlack_ = seconds(10);
 };
@@ -65,6 +69,14 @@
     /// Refuses all further requests.
     auto stopAdmitting() -> void;
 
+    /// Judges which routes only backend servers use; see RouteOrigins. Call it every second.
+    auto judgeOrigins(const std::map<std::string, double>& nodeShares) -> void;
+    /// The level of the services that this backend server calls.
+    auto setDownstreamLevel(ShedLevel level) -> void
+    {
+        downstreamLevel_ = level;
+    }
+
     /// Drops what has waited too long. Call it every 100 ms or so.
     auto tick() -> void;
 
@@ -85,6 +97,7 @@
         GateCallback callback_;
         TimePoint arrived_;
         TimePoint sent_;
+        int place_ = 0; ///< In the queue: lower goes first.
         http1::Pool::CallId poolCall_ = 0;
         bool running_ = false;
         bool abandoned_ = false;
@@ -103,7 +116,8 @@
     };
 
     auto refusalFor(const GateCall& call) const -> GateReason;
-    auto expectedWait(int rank) const -> Duration;
+    auto placeOf(const GateCall& call) const -> int;
+    auto expectedWait(int place) const -> Duration;
     /// Precondition: waiting_ > 0.
     auto firstWaiting() const -> TicketPtr;
     auto startWaiting() -> void;
@@ -121,7 +135,7 @@
     GateOptions options_;
     std::shared_ptr<http1::Pool> pool_;
     BackendInstance instance_;
-    std::map<int, std::deque<TicketPtr>> queue_; ///< By rank.
+    std::map<int, std::deque<TicketPtr>> queue_; ///< By place.
     std::unordered_map<TicketId, TicketPtr> tickets_;
     std::unordered_map<std::string, AttemptRecord> records_;
     TicketId lastId_ = 0;
@@ -131,6 +145,9 @@
     Duration meanServiceTime_ = milliseconds(30);
     TimePoint unreachableUntil_;
     TimePoint nextRecordSweep_;
+    RouteOrigins origins_;
+    LevelController level_;
+    ShedLevel downstreamLevel_ = 0;
     bool stopping_ = false;
     GateStats stats_;
 };
--- a/src/libsidecar/gate_types.h
+++ b/src/libsidecar/gate_types.h
@@ -14,6 +14,7 @@
 /// One attempt of a request, as the sender's node hands it to the node beside the backend server.
 struct GateCall {
     std::string attemptId_; ///< Given by the caller.
+    std::string route_; ///< Name of the route that sent it here.
     std::string service_;
     std::string callerService_; ///< Service of the VM where the request began.
     std::string method_;
@@ -56,6 +57,7 @@
     bool arrived_ = false;
     http1::Response response_; ///< Valid if Answered.
     GateLoad load_;
+    bool fromBackend_ = false; ///< Only backend servers use the request's route.
 };
 
 using GateCallback = std::function<void(GateReply)>;
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -89,7 +89,7 @@
 
 template <typename Stream> auto packEntry(msgpack::packer<Stream>& packer, const NodeEntry& entry) -> void
 {
-    constexpr std::uint32_t fieldCount = 11;
+    constexpr std::uint32_t fieldCount = 12;
     packer.pack_array(fieldCount);
     packer.pack(entry.node_);
     packer.pack(entry.zone_);
@@ -101,6 +101,7 @@
     packer.pack(entry.backendId_);
     packer.pack(entry.backendBornMs_);
     packer.pack(static_cast<int>(entry.phase_));
+    packer.pack(entry.accepting_);
     packer.pack(entry.generation_);
 }
 
@@ -125,6 +126,7 @@
     entry.backendId_ = reader.next<std::string>();
     entry.backendBornMs_ = reader.next<std::uint64_t>();
     entry.phase_ = readPhase(reader.next<int>());
+    entry.accepting_ = reader.next<bool>();
     entry.generation_ = reader.next<std::uint64_t>();
     return entry;
 }
@@ -138,7 +140,7 @@
 {
     const auto& call = frame.call_;
     packAll(stream, typeNumber<CallFrame>(), frame.id_, frame.sentAtUs_,
-        microsecondsOf(call.deadline_) - frame.sentAtUs_, call.attemptId_, call.service_, call.callerService_,
+        microsecondsOf(call.deadline_) - frame.sentAtUs_, call.attemptId_, call.route_, call.service_, call.callerService_,
         call.method_, call.target_, call.headers_.lines(), call.body_, call.idempotent_, call.rank_,
         microsecondsOf(call.goal_));
 }
@@ -149,7 +151,7 @@
     packAll(stream, typeNumber<ReplyFrame>(), frame.id_, frame.configVersion_, static_cast<int>(reply.outcome_),
         static_cast<int>(reply.reason_), reply.arrived_, reply.response_.status_,
         reply.response_.headers_.lines(), reply.response_.body_, reply.load_.running_, reply.load_.queued_,
-        reply.load_.limit_);
+        reply.load_.limit_, reply.load_.level_, reply.fromBackend_);
 }
 
 auto pack(StringStream& stream, const CancelFrame& frame) -> void
@@ -212,6 +214,7 @@
     // The receiver adds its own time: only the time left is known here.
     call.deadline_ = TimePoint(microseconds(reader.next<std::int64_t>()));
     call.attemptId_ = reader.next<std::string>();
+    call.route_ = reader.next<std::string>();
     call.service_ = reader.next<std::string>();
     call.callerService_ = reader.next<std::string>();
     call.method_ = reader.next<std::string>();
@@ -245,6 +248,8 @@
     reply.load_.running_ = reader.next<int>();
     reply.load_.queued_ = reader.next<int>();
     reply.load_.limit_ = reader.next<int>();
+    reply.load_.level_ = reader.next<double>();
+    reply.fromBackend_ = reader.next<bool>();
     return frame;
 }
 
--- /dev/null
+++ b/src/libsidecar/shed_level.cpp
@@ -0,0 +1,95 @@
+#include "shed_level.h"
+
+#include <algorithm>
+
+namespace wagtailhead {
+
+namespace {
+
+constexpr Duration window = milliseconds(100);
+/// A mean wait above this shows more demand than slots.
+constexpr Duration longWait = milliseconds(12);
+/// Steps of one window. What is refused at the callers' nodes takes some windows to show, so that greater
+/// steps overshoot.
+constexpr double leastRise = 0.02;
+constexpr double risePerRefusedShare = 0.25;
+constexpr double mostRise = 0.12;
+constexpr double mostFall = 0.05;
+/// With this share of the slots in use the level stays.
+constexpr double fullShare = 0.92;
+/// Three ranks, all refused.
+constexpr ShedLevel highestLevel = 3;
+/// A report older than this says nothing any more.
+constexpr Duration reportLife = seconds(1);
+/// A small share of each rank always passes, so that recovery is noticed.
+constexpr double mostRefused = 0.97;
+
+} // namespace
+
+auto LevelController::onStarted(Duration waited) -> void
+{
+    ++started_;
+    waited_ += waited;
+}
+
+auto LevelController::update(double usedShare, TimePoint now) -> void
+{
+    usedSum_ += usedShare;
+    ++usedCount_;
+    if (now - windowStart_ < window) {
+        return;
+    }
+    const double used = usedSum_ / usedCount_;
+    const double refused = arrivals_ > 0 ? static_cast<double>(refused_) / arrivals_ : 0;
+    const auto meanWait = started_ > 0 ? waited_ / started_ : Duration::zero();
+    if (refused_ > 0 || meanWait > longWait) {
+        level_ += std::min(leastRise + refused * risePerRefusedShare, mostRise);
+    } else if (used < fullShare) {
+        level_ -= mostFall * (fullShare - used);
+    }
+    level_ = std::clamp(level_, 0.0, highestLevel);
+    arrivals_ = refused_ = started_ = usedCount_ = 0;
+    waited_ = {};
+    usedSum_ = 0;
+    windowStart_ = now;
+}
+
+auto ReportedLevels::take(const std::string& service, const std::string& node, ShedLevel level, TimePoint now) -> void
+{
+    services_[service][node] = { level, now };
+}
+
+auto ReportedLevels::mean(const Reports& reports, TimePoint now) -> ShedLevel
+{
+    double sum = 0;
+    int count = 0;
+    for (const auto& [node, report] : reports) {
+        if (now - report.time_ < reportLife) {
+            sum += report.level_;
+            ++count;
+        }
+    }
+    return count > 0 ? sum / count : 0;
+}
+
+auto ReportedLevels::of(const std::string& service, TimePoint now) const -> ShedLevel
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : mean(found->second, now);
+}
+
+auto ReportedLevels::highest(TimePoint now) const -> ShedLevel
+{
+    ShedLevel level = 0;
+    for (const auto& [service, reports] : services_) {
+        level = std::max(level, mean(reports, now));
+    }
+    return level;
+}
+
+auto refusedShare(ShedLevel level, int place) -> double
+{
+    return std::clamp(level - place, 0.0, mostRefused);
+}
+
+} // namespace wagtailhead
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -18,7 +18,9 @@
 /// How often deadlines, idle connections and silent links are checked.
 constexpr Duration tickInterval = milliseconds(50);
 /// The slower checks run on each n-th tick.
-constexpr int slowTicks = 4;
+constexpr int slowTicks = 2;
+/// The routes that only backend servers use are judged on each n-th tick.
+constexpr int judgeTicks = 20;
 /// A node behind in configuration asks a peer at most this often.
 constexpr Duration stateRequestInterval = milliseconds(300);
 /// A stopping node serves at least this long, so that callers have seen that it is not ready any more.
@@ -119,7 +121,11 @@
               [this](const std::string&, const StateFrame& state) {
                   onState(state);
               } })
-    , entry_({ settings_.node_, settings_.service_, headers_, settings_.retryShare_, settings_.retryBurst_ },
+    , entry_({ .node_ = settings_.node_,
+              .service_ = settings_.service_,
+              .headers_ = headers_,
+              .retryShare_ = settings_.retryShare_,
+              .retryBurst_ = settings_.retryBurst_ },
           { directory_, links_, gate_,
               [this] {
                   return configuration_;
@@ -309,7 +315,7 @@
     if (entry.node_ != settings_.node_ && directory_.apply(entry)) {
         logEvent(LogLevel::Info, "node_changed",
             { { "node", entry.node_ }, { "service", entry.service_ }, { "phase", backendPhaseName(entry.phase_) },
-                { "backend", entry.backendId_ }, { "generation", entry.generation_ } });
+                { "accepting", static_cast<int>(entry.accepting_) }, { "backend", entry.backendId_ }, { "generation", entry.generation_ } });
     }
 }
 
@@ -339,7 +345,8 @@
     entry.capacity_ = belief.capacity_;
     entry.backendId_ = belief.id_;
     entry.backendBornMs_ = belief.bornMs_;
-    entry.phase_ = stopping_ ? std::max(belief.phase_, BackendPhase::Draining) : belief.phase_;
+    entry.phase_ = belief.phase_;
+    entry.accepting_ = !stopping_;
     const auto* published = directory_.find(settings_.node_);
     entry.generation_ = published == nullptr ? 0 : published->generation_;
     if (published == nullptr || !(entry == *published)) {
@@ -446,6 +453,7 @@
     const auto now = Clock::now();
     entry_.tick();
     if (++ticks_ % slowTicks == 0) {
+        gate_.setDownstreamLevel(entry_.downstreamLevel());
         gate_.tick();
         backendPool_->tick(now);
         links_.tick(now);
@@ -454,6 +462,9 @@
         reportServer_->tick(now);
         store_->tick(now);
     }
+    if (ticks_ % judgeTicks == 0) {
+        gate_.judgeOrigins(directory_.nodeShares());
+    }
     if (stopping_) {
         checkStopped();
     }
--- a/src/libsidecar/site_configuration.cpp
+++ b/src/libsidecar/site_configuration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <functional>
 
 namespace wagtailhead {
 
@@ -28,7 +29,10 @@
 {
     for (std::size_t i = 0; i < routes_.size(); ++i) {
         byHostAndPrefix_.emplace(hostName(routes_[i].host_) + routes_[i].prefix_, i);
+        ranks_.push_back(routes_[i].rank_);
     }
+    std::sort(ranks_.begin(), ranks_.end(), std::greater<>());
+    ranks_.erase(std::unique(ranks_.begin(), ranks_.end()), ranks_.end());
 }
 
 auto SiteConfiguration::match(std::string_view host, std::string_view path) const -> const SiteRoute*
@@ -53,6 +57,11 @@
     return nullptr;
 }
 
+auto SiteConfiguration::ranksBelow(int rank) const -> int
+{
+    return static_cast<int>(std::lower_bound(ranks_.begin(), ranks_.end(), rank, std::greater<>()) - ranks_.begin());
+}
+
 auto SiteConfiguration::service(std::string_view name) const -> const SiteService*
 {
     for (const auto& service : services_) {
