feat(sidecar): levels without overshoot, spill before queues, downloads shed by their own service only

Queues of 120 at 23 slots cost sequential calls their parent's time. One region queued while the other had free slots. Downloads were refused for a service that they never call. Ruled out: repeats (the budget rule held), processor time (0.07 of a core). Change: windows of 250 ms with like steps up and down; penalties for other zones and regions 0.15 and 0.8 of a capacity (0.35 and 1.2); queues of a fifth of the objective (two fifths).

--- a/src/libsidecar/caller_entry.cpp
+++ b/src/libsidecar/caller_entry.cpp
@@ -15,6 +15,8 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
 
+/// Lines about requests that were not served, for each process; the rest is counted.
+constexpr int logLinesPerSecond = 40;
 /// How long after the deadline the backend server's own answer is awaited.
 constexpr Duration answerGrace = milliseconds(90);
 /// Without this much time left another attempt cannot succeed.
@@ -66,7 +68,7 @@
     auto onNotRun(const GateReply& reply) -> void;
     auto onUnknown(GateReason reason) -> void;
     auto fence(std::uint64_t incarnation) -> void;
-    auto mayRepeat() -> bool;
+    auto mayRepeat(RetryBudget& budget) -> bool;
     auto refuse(const char* reason) -> void;
     auto fail(int status, const char* reason) -> void;
     auto giveUp(const char* reason) -> void;
@@ -113,7 +115,9 @@
         refuse("shed");
         return;
     }
-    entry_.budgetOf(service_).onFirstTry();
+    auto& budgets = entry_.budgetsOf(service_);
+    budgets.ran_.onFirstTry();
+    budgets.rejected_.onFirstTry();
     attempt();
 }
 
@@ -271,11 +275,11 @@
     }
 }
 
-auto CallerEntry::Operation::mayRepeat() -> bool
+auto CallerEntry::Operation::mayRepeat(RetryBudget& budget) -> bool
 {
     return arrivals_ < route_->maxAttempts_ && deadline_ - bootNow() > leastAttemptTime
         && entry_.levels_.of(service_, Clock::now()) < overloadLevel
-        && entry_.budgetOf(service_).tryTake();
+        && budget.tryTake();
 }
 
 auto CallerEntry::Operation::onAnswered(GateReply reply) -> void
@@ -289,7 +293,7 @@
         entry_.parts_.directory_.onSuccess(current_->node_);
     }
     const bool timedOut = reply.response_.status_ == statusGatewayTimeout;
-    if (failed && !timedOut && route_->idempotent_ && mayRepeat()) {
+    if (failed && !timedOut && route_->idempotent_ && mayRepeat(entry_.budgetsOf(service_).ran_)) {
         ++entry_.stats_.retries_;
         lastAnswer_ = std::move(reply.response_);
         current_.reset();
@@ -311,7 +315,7 @@
         giveUp(reason);
         return;
     }
-    if (reply.arrived_ && !mayRepeat()) {
+    if (reply.arrived_ && !mayRepeat(entry_.budgetsOf(service_).rejected_)) {
         giveUp(reason);
         return;
     }
@@ -323,7 +327,7 @@
     current_.reset();
     ++arrivals_;
     mayHaveRun_ = true;
-    if (route_->idempotent_ && reason != GateReason::Timeout && mayRepeat()) {
+    if (route_->idempotent_ && reason != GateReason::Timeout && mayRepeat(entry_.budgetsOf(service_).ran_)) {
         ++entry_.stats_.retries_;
         attempt();
         return;
@@ -378,6 +382,9 @@
 
 auto CallerEntry::Operation::logEnd(LogLevel level, int status, const char* reason) -> void
 {
+    if (!entry_.log_.allow(Clock::now())) {
+        return;
+    }
     logEvent(level, "request_ended",
         { { "attempt", attemptId_ }, { "route", route_ == nullptr ? "" : route_->name_ }, { "service", service_ },
             { "status", status }, { "reason", reason }, { "arrivals", arrivals_ },
@@ -430,6 +437,7 @@
     : options_(std::move(options))
     , parts_(std::move(parts))
     , random_(seed)
+    , log_(logLinesPerSecond)
 {
 }
 
@@ -449,15 +457,18 @@
     }
 }
 
-auto CallerEntry::budgetOf(const std::string& service) -> RetryBudget&
+auto CallerEntry::budgetsOf(const std::string& service) -> Budgets&
 {
-    auto& budget = budgets_[service];
-    if (!budget) {
+    auto& budgets = budgets_[service];
+    if (!budgets) {
         const auto nodes = static_cast<double>(std::max<std::size_t>(parts_.directory_.size(), 1));
-        const double burst = std::max(options_.retryBurst_ * options_.retryPart_ / nodes, 1.0);
-        budget = std::make_unique<RetryBudget>(RetryBudgetOptions { options_.retryShare_ * options_.retryPart_, burst });
+        const auto optionsOf = [&](double part) {
+            return RetryBudgetOptions { options_.retryShare_ * part,
+                std::max(options_.retryBurst_ * part / nodes, 1.0) };
+        };
+        budgets = std::make_unique<Budgets>(optionsOf(options_.ranPart_), optionsOf(options_.rejectedPart_));
     }
-    return *budget;
+    return *budgets;
 }
 
 auto CallerEntry::takeReply(
@@ -465,6 +476,7 @@
 {
     const auto now = Clock::now();
     levels_.take(service, node, reply.load_.level_, now);
+    ownLevels_.take(service, node, reply.load_.ownLevel_, now);
     if (reply.fromBackend_) {
         calledLevels_.take(service, node, reply.load_.level_, now);
         callRoutes_.insert(route.name_);
@@ -476,7 +488,9 @@
 auto CallerEntry::shouldShed(
     const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool
 {
-    const auto level = levels_.of(service, Clock::now());
+    // A download is read from the backend server itself and makes no calls.
+    const auto& levels = route.bulk_ ? ownLevels_ : levels_;
+    const auto level = levels.of(service, Clock::now());
     if (level <= 0 || callRoutes_.count(route.name_) > 0) {
         return false;
     }
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -4,6 +4,7 @@
 #include "gate.h"
 #include "http1_listener.h"
 #include "link_client.h"
+#include "log_budget.h"
 #include "shed_level.h"
 #include "wagtailhead/directory.h"
 #include "wagtailhead/retry.h"
@@ -19,9 +20,11 @@
     std::string node_;
     std::string service_; ///< Of this VM; told to backend servers as the caller's service.
     HeaderNames headers_;
-    /// The part of the site's retry budget that repeats at one hop may use. The calls of a repeated run
-    /// count as repeats where they arrive, so the hops of a chain share the budget.
-    double retryPart_ = 0.2;
+    /// The part of the site's retry budget for repeats of requests that have run. Their calls count as
+    /// repeats where they arrive, so the hops of a chain share the budget.
+    double ranPart_ = 0.1;
+    /// The part for repeats of requests that a backend server has rejected.
+    double rejectedPart_ = 0.5;
     double retryShare_ = 0.1; ///< Extra arrivals for each first one, over all nodes.
     double retryBurst_ = 10; ///< Extra arrivals beyond the share, over all nodes.
 };
@@ -63,6 +66,12 @@
         return calledLevels_.highest(Clock::now());
     }
 
+    /// Returns the log lines dropped since the last call.
+    auto takeDroppedLines() -> std::uint64_t
+    {
+        return log_.takeDropped();
+    }
+
     auto inFlight() const -> std::size_t
     {
         return operations_.size();
@@ -76,7 +85,18 @@
     class Operation;
     friend class Operation;
 
-    auto budgetOf(const std::string& service) -> RetryBudget&;
+    /// The repeats towards one service.
+    struct Budgets {
+        Budgets(const RetryBudgetOptions& ran, const RetryBudgetOptions& rejected)
+            : ran_(ran)
+            , rejected_(rejected)
+        {
+        }
+
+        RetryBudget ran_;
+        RetryBudget rejected_;
+    };
+    auto budgetsOf(const std::string& service) -> Budgets&;
     auto takeReply(const std::string& node, const std::string& service, const SiteRoute& route, const GateReply& reply)
         -> void;
     auto shouldShed(const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool;
@@ -85,11 +105,13 @@
     CallerEntryOptions options_;
     CallerEntryParts parts_;
     std::mt19937_64 random_;
-    std::map<std::string, std::unique_ptr<RetryBudget>> budgets_; ///< By service.
+    std::map<std::string, std::unique_ptr<Budgets>> budgets_; ///< By service.
     std::set<std::pair<TimePoint, std::shared_ptr<Operation>>> operations_; ///< By deadline.
-    ReportedLevels levels_; ///< Of all services.
+    ReportedLevels levels_; ///< Of all services, with those that they call.
+    ReportedLevels ownLevels_; ///< Of all services alone.
     ReportedLevels calledLevels_; ///< Of the services that the backend server of this VM calls.
     std::set<std::string> callRoutes_; ///< Routes that only backend servers use.
+    LogBudget log_;
     CallerEntryStats stats_;
 };
 
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -11,8 +11,8 @@
 
 /// Added to the load share of nodes outside the own zone: the load difference that is worth the bytes
 /// between zones of a region, and the round trip to another region.
-constexpr double otherZonePenalty = 0.35;
-constexpr double otherRegionPenalty = 1.2;
+constexpr double otherZonePenalty = 0.15;
+constexpr double otherRegionPenalty = 0.8;
 /// Spreads equal loads over equally good nodes.
 constexpr double jitter = 0.05;
 /// A backend server with this share of failed requests counts as fully loaded twice over.
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -431,7 +431,7 @@
 
 auto Gate::load() const -> GateLoad
 {
-    return { running_, waiting_, limit(), std::max(level_.level(), downstreamLevel_) };
+    return { running_, waiting_, limit(), std::max(level_.level(), downstreamLevel_), level_.level() };
 }
 
 } // namespace wagtailhead
--- a/src/libsidecar/gate.h
+++ b/src/libsidecar/gate.h
@@ -19,7 +19,7 @@
     std::string service_;
     HeaderNames headers_;
     /// Longest wait in the queue as a share of the latency objective.
-    double queueShare_ = 0.4;
+    double queueShare_ = 0.2;
     /// The share of the backend server's slots in use at most; it slows down when it is nearly full.
     double usedSlotShare_ = 0.93;
     /// How long the record of a request that may run once outlives its deadline.
--- a/src/libsidecar/shed_level.cpp
+++ b/src/libsidecar/shed_level.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-constexpr Duration window = milliseconds(100);
+/// What callers' nodes refuse after a step shows here within this time.
+constexpr Duration window = milliseconds(250);
 /// A mean wait above this shows more demand than slots.
 constexpr Duration longWait = milliseconds(12);
-/// Steps of one window. What is refused at the callers' nodes takes some windows to show, so that greater
-/// steps overshoot.
-constexpr double leastRise = 0.02;
-constexpr double risePerRefusedShare = 0.25;
-constexpr double mostRise = 0.12;
-constexpr double mostFall = 0.05;
+/// Steps of one window, in ranks.
+constexpr double leastRise = 0.03;
+constexpr double risePerRefusedShare = 0.6;
+constexpr double mostRise = 0.3;
+constexpr double fallPerFreeShare = 0.4;
 /// With this share of the slots in use the level stays.
 constexpr double fullShare = 0.92;
 /// Three ranks, all refused.
@@ -45,7 +45,7 @@
     if (refused_ > 0 || meanWait > longWait) {
         level_ += std::min(leastRise + refused * risePerRefusedShare, mostRise);
     } else if (used < fullShare) {
-        level_ -= mostFall * (fullShare - used);
+        level_ -= fallPerFreeShare * (fullShare - used);
     }
     level_ = std::clamp(level_, 0.0, highestLevel);
     arrivals_ = refused_ = started_ = usedCount_ = 0;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -19,7 +19,7 @@
 constexpr Duration tickInterval = milliseconds(50);
 /// The slower checks run on each n-th tick.
 constexpr int slowTicks = 2;
-/// The routes that only backend servers use are judged on each n-th tick.
+/// The routes that only backend servers use are judged, and the load is logged, on each n-th tick.
 constexpr int judgeTicks = 20;
 /// A node behind in configuration asks a peer at most this often.
 constexpr Duration stateRequestInterval = milliseconds(300);
@@ -73,6 +73,7 @@
     auto beginStop() -> void;
     auto checkStopped() -> void;
     auto tick() -> void;
+    auto logLoad() -> void;
 
     const SidecarSettings settings_;
     const PlatformInterface platform_;
@@ -448,6 +449,20 @@
     }
 }
 
+auto SidecarProcess::logLoad() -> void
+{
+    const auto load = gate_.load();
+    const auto& callers = entry_.stats();
+    const auto& gate = gate_.stats();
+    logEvent(LogLevel::Info, "load",
+        { { "running", load.running_ }, { "queued", load.queued_ }, { "limit", load.limit_ },
+            { "level", load.level_ }, { "downstream_level", entry_.downstreamLevel() },
+            { "requests", callers.requests_ }, { "answered", callers.answered_ }, { "refused", callers.refused_ },
+            { "shed", callers.shed_ }, { "failed", callers.failed_ }, { "retries", callers.retries_ },
+            { "gate_admitted", gate.admitted_ }, { "gate_refused", gate.refused_ },
+            { "backend_rejected", gate.rejectedByBackend_ }, { "lines_dropped", entry_.takeDroppedLines() } });
+}
+
 auto SidecarProcess::tick() -> void
 {
     const auto now = Clock::now();
@@ -464,6 +479,7 @@
     }
     if (ticks_ % judgeTicks == 0) {
         gate_.judgeOrigins(directory_.nodeShares());
+        logLoad();
     }
     if (stopping_) {
         checkStopped();
