--- /dev/null
+++ b/src/libhttp1/http1_network_test.cpp
@@ -0,0 +1,340 @@
+/// The listener and the pool against each other and against raw sockets on loopback.
+#include "http1_listener.h"
+#include "http1_pool.h"
+#include "socket_options.h"
+
+#include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+#include <criterion/criterion.h>
+
+using namespace wagtailhead;
+using namespace wagtailhead::http1;
+
+namespace {
+
+constexpr Duration patience = seconds(5);
+
+/// A server that answers each request head with the next of its texts and may close after it.
+class ScriptedServer {
+public:
+    struct Step {
+        std::string answer_;
+        bool close_ = false;
+    };
+
+    ScriptedServer(asio::io_context& context, std::vector<Step> steps)
+        : acceptor_(context, { asio::ip::make_address("127.0.0.1"), 0 })
+        , steps_(std::move(steps))
+    {
+        accept();
+    }
+
+    auto address() const -> Address
+    {
+        return { "127.0.0.1", acceptor_.local_endpoint().port() };
+    }
+    auto accepted() const -> int
+    {
+        return accepted_;
+    }
+
+private:
+    struct Peer {
+        explicit Peer(asio::ip::tcp::socket socket)
+            : socket_(std::move(socket))
+        {
+        }
+        asio::ip::tcp::socket socket_;
+        asio::streambuf input_;
+    };
+
+    auto accept() -> void
+    {
+        acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            ++accepted_;
+            serve(std::make_shared<Peer>(std::move(socket)));
+            accept();
+        });
+    }
+
+    auto serve(const std::shared_ptr<Peer>& peer) -> void
+    {
+        asio::async_read_until(
+            peer->socket_, peer->input_, "\r\n\r\n", [this, peer](const asio::error_code& error, std::size_t size) {
+                if (error || next_ >= steps_.size()) {
+                    return;
+                }
+                peer->input_.consume(size);
+                const auto& step = steps_[next_++];
+                asio::write(peer->socket_, asio::buffer(step.answer_));
+                if (step.close_) {
+                    peer->socket_.close();
+                } else {
+                    serve(peer);
+                }
+            });
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<Step> steps_;
+    std::size_t next_ = 0;
+    int accepted_ = 0;
+};
+
+auto get(std::function<void(CallResult)> done) -> PoolCall
+{
+    PoolCall call;
+    call.request_.method_ = "GET";
+    call.request_.target_ = "/";
+    call.done_ = std::move(done);
+    return call;
+}
+
+/// Makes one call and returns its result.
+auto callOnce(asio::io_context& context, Pool& pool) -> CallResult
+{
+    std::optional<CallResult> result;
+    pool.send(get([&](CallResult got) {
+        result = std::move(got);
+    }));
+    const auto end = Clock::now() + patience;
+    while (!result && Clock::now() < end) {
+        context.run_for(milliseconds(5));
+        context.restart();
+        pool.tick(Clock::now());
+    }
+    cr_assert(result.has_value(), "no result in time");
+    return *result;
+}
+
+constexpr auto okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+Test(http1_pool, keeps_a_connection_for_the_next_request)
+{
+    asio::io_context context;
+    ScriptedServer server(context, { { okAnswer }, { okAnswer } });
+    const auto pool = Pool::create(context, { .server_ = server.address() });
+    cr_assert(std::get<Response>(callOnce(context, *pool)).body_ == "ok");
+    cr_assert(std::get<Response>(callOnce(context, *pool)).body_ == "ok");
+    cr_assert(server.accepted() == 1);
+}
+
+Test(http1_pool, an_extra_answer_is_never_taken_for_the_next_request)
+{
+    asio::io_context context;
+    const std::string extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+    ScriptedServer server(context, { { okAnswer + extra }, { okAnswer } });
+    const auto pool = Pool::create(context, { .server_ = server.address() });
+    cr_assert(std::get<Response>(callOnce(context, *pool)).body_ == "ok");
+    cr_assert(std::get<Response>(callOnce(context, *pool)).body_ == "ok");
+    cr_assert(server.accepted() == 2);
+}
+
+Test(http1_pool, broken_answers)
+{
+    struct Case {
+        const char* name_;
+        const char* answer_;
+        Failure failure_;
+    };
+    const Case cases[] = {
+        { "cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", Failure::Lost },
+        { "closed without an answer", "", Failure::Lost },
+        { "no HTTP", "nonsense\r\n\r\n", Failure::Malformed },
+    };
+    for (const auto& one : cases) {
+        asio::io_context context;
+        ScriptedServer server(context, { { one.answer_, true } });
+        const auto pool = Pool::create(context, { .server_ = server.address() });
+        const auto result = callOnce(context, *pool);
+        const auto* failure = std::get_if<Failure>(&result);
+        cr_expect(failure != nullptr && *failure == one.failure_, "%s", one.name_);
+    }
+}
+
+Test(http1_pool, a_closed_port_has_not_seen_the_request)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor taken(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const Address address { "127.0.0.1", taken.local_endpoint().port() };
+    taken.close();
+    const auto pool = Pool::create(context, { .server_ = address });
+    cr_assert(std::get<Failure>(callOnce(context, *pool)) == Failure::NotSent);
+}
+
+Test(http1_pool, a_request_that_asks_for_a_fresh_connection_gets_a_new_one)
+{
+    asio::io_context context;
+    ScriptedServer server(context, { { okAnswer }, { okAnswer } });
+    const auto pool = Pool::create(context, { .server_ = server.address() });
+    callOnce(context, *pool);
+    context.run_for(milliseconds(30));
+    context.restart();
+    bool done = false;
+    auto call = get([&](const CallResult& result) {
+        done = std::holds_alternative<Response>(result);
+    });
+    call.maxIdle_ = milliseconds(10);
+    pool->send(std::move(call));
+    context.run_for(milliseconds(200));
+    cr_assert(done);
+    cr_assert(server.accepted() == 2);
+}
+
+namespace {
+
+auto responseOf(int status, const std::string& body) -> Response
+{
+    Response response;
+    response.status_ = status;
+    response.body_ = body;
+    return response;
+}
+
+struct Served {
+    std::vector<std::shared_ptr<Exchange>> exchanges_;
+    std::vector<Request> requests_;
+};
+
+auto listen(asio::io_context& context, std::uint16_t port, ListenerLimits limits, Served& served)
+    -> std::shared_ptr<Listener>
+{
+    auto listener = Listener::open(
+        context, { "127.0.0.1", port }, limits, [&served](Request request, std::shared_ptr<Exchange> exchange) {
+            served.requests_.push_back(std::move(request));
+            served.exchanges_.push_back(std::move(exchange));
+        });
+    cr_assert(isOk(listener));
+    return valueOf(std::move(listener));
+}
+
+auto freePort(asio::io_context& context) -> std::uint16_t
+{
+    asio::ip::tcp::acceptor probe(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    return probe.local_endpoint().port();
+}
+
+/// Runs the context until `done` or the end of the test's patience.
+template <typename Done> auto runUntil(asio::io_context& context, Listener& listener, Done done) -> bool
+{
+    const auto end = Clock::now() + patience;
+    while (!done() && Clock::now() < end) {
+        context.run_for(milliseconds(5));
+        context.restart();
+        listener.tick(Clock::now());
+    }
+    return done();
+}
+
+auto readAll(asio::ip::tcp::socket& socket) -> std::string
+{
+    std::string text(65536, '\0');
+    asio::error_code error;
+    const auto size = socket.read_some(asio::buffer(text), error);
+    text.resize(size);
+    return text;
+}
+
+} // namespace
+
+Test(http1_listener, answers_pipelined_requests_in_order)
+{
+    asio::io_context context;
+    Served served;
+    const auto port = freePort(context);
+    const auto listener = listen(context, port, {}, served);
+    asio::ip::tcp::socket client(context);
+    client.connect({ asio::ip::make_address("127.0.0.1"), port });
+    asio::write(client, asio::buffer(std::string("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")));
+    cr_assert(runUntil(context, *listener, [&] {
+        return served.requests_.size() == 1;
+    }));
+    served.exchanges_[0]->respond(responseOf(200, "one"));
+    cr_assert(runUntil(context, *listener, [&] {
+        return served.requests_.size() == 2;
+    }));
+    cr_assert(served.requests_[1].target_ == "/2");
+    cr_assert(readAll(client).find("one") != std::string::npos);
+}
+
+Test(http1_listener, tells_when_the_caller_has_gone)
+{
+    asio::io_context context;
+    Served served;
+    const auto port = freePort(context);
+    const auto listener = listen(context, port, {}, served);
+    bool gone = false;
+    {
+        asio::ip::tcp::socket client(context);
+        client.connect({ asio::ip::make_address("127.0.0.1"), port });
+        asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        cr_assert(runUntil(context, *listener, [&] {
+            return served.requests_.size() == 1;
+        }));
+        served.exchanges_[0]->onGone([&] {
+            gone = true;
+        });
+    }
+    cr_assert(runUntil(context, *listener, [&] {
+        return gone;
+    }));
+    served.exchanges_[0]->respond(responseOf(200, ""));
+    cr_assert(listener->connectionCount() == 0);
+}
+
+Test(http1_listener, rejects_what_exceeds_its_limits)
+{
+    struct Case {
+        const char* name_;
+        std::string text_;
+        const char* status_;
+    };
+    const Case cases[] = {
+        { "headers", "GET / HTTP/1.1\r\nX: " + std::string(200, 'a') + "\r\n\r\n", " 431 " },
+        { "body", "POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'a'), " 413 " },
+        { "malformed", "nonsense\r\n\r\n", " 400 " },
+        { "slow headers", "GET / HTTP/1.1\r\nX", " 408 " },
+    };
+    for (const auto& one : cases) {
+        asio::io_context context;
+        Served served;
+        const auto port = freePort(context);
+        const auto listener = listen(context, port, { { 100, 50 }, milliseconds(50), seconds(60) }, served);
+        asio::ip::tcp::socket client(context);
+        client.connect({ asio::ip::make_address("127.0.0.1"), port });
+        asio::write(client, asio::buffer(one.text_));
+        cr_expect(runUntil(context, *listener, [&] {
+            return client.available() > 0;
+        }),
+            "%s: no answer", one.name_);
+        cr_expect(readAll(client).find(one.status_) != std::string::npos, "%s", one.name_);
+        cr_expect(served.requests_.empty(), "%s", one.name_);
+    }
+}
+
+Test(http1_listener, closes_idle_connections_in_order)
+{
+    asio::io_context context;
+    Served served;
+    const auto port = freePort(context);
+    const auto listener = listen(context, port, { {}, seconds(5), milliseconds(50) }, served);
+    asio::ip::tcp::socket client(context);
+    client.connect({ asio::ip::make_address("127.0.0.1"), port });
+    runUntil(context, *listener, [&] {
+        return listener->connectionCount() == 1;
+    });
+    std::string text(10, '\0');
+    asio::error_code error;
+    client.non_blocking(true);
+    cr_assert(runUntil(context, *listener, [&] {
+        client.read_some(asio::buffer(text), error);
+        return error == asio::error::eof;
+    }));
+}
--- /dev/null
+++ b/src/libhttp1/http1_reader_test.cpp
@@ -0,0 +1,87 @@
+#include "http1_reader.h"
+
+#include <criterion/criterion.h>
+
+using namespace wagtailhead::http1;
+
+namespace {
+
+using Kind = MessageReader::Kind;
+
+/// Feeds `text` byte by byte and returns how many bytes were taken.
+auto feedSlowly(MessageReader& reader, std::string_view text) -> std::size_t
+{
+    std::size_t used = 0;
+    for (const char& c : text) {
+        used += reader.feed({ &c, 1 });
+    }
+    return used;
+}
+
+struct Case {
+    const char* name_;
+    Kind kind_;
+    const char* text_;
+    ReadState state_;
+};
+
+} // namespace
+
+Test(http1_reader, states)
+{
+    const Case cases[] = {
+        { "request without body", Kind::Requests, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", ReadState::Complete },
+        { "request in parts", Kind::Requests, "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", ReadState::Body },
+        { "chunked request", Kind::Requests,
+            "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", ReadState::Complete },
+        { "two lengths", Kind::Requests,
+            "POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            ReadState::Malformed },
+        { "no request", Kind::Requests, "\x01\x02\x03\x04", ReadState::Malformed },
+        { "no response", Kind::Responses, "GARBAGE\r\n\r\n", ReadState::Malformed },
+        { "response cut short", Kind::Responses, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", ReadState::Body },
+        { "response without a length", Kind::Responses, "HTTP/1.1 200 OK\r\n\r\nabc", ReadState::Body },
+        { "interim response", Kind::Responses, "HTTP/1.1 100 Continue\r\n\r\n", ReadState::Headers },
+    };
+    for (const auto& one : cases) {
+        MessageReader reader(one.kind_);
+        feedSlowly(reader, one.text_);
+        cr_expect(reader.state() == one.state_, "%s: state %d", one.name_, static_cast<int>(reader.state()));
+    }
+}
+
+Test(http1_reader, leaves_the_bytes_behind_a_message)
+{
+    MessageReader reader(Kind::Responses);
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const std::string both = first + "HTTP/1.1 200 OK\r\n";
+    cr_assert(reader.feed(both) == first.size());
+    const auto response = reader.takeResponse();
+    cr_assert(response.body_ == "ok");
+    cr_assert(response.keepAlive_);
+}
+
+Test(http1_reader, closing_completes_only_a_response_without_a_length)
+{
+    MessageReader open(Kind::Responses);
+    open.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    open.finish();
+    cr_assert(open.state() == ReadState::Complete);
+    cr_assert(open.takeResponse().body_ == "abc");
+    MessageReader cut(Kind::Responses);
+    cut.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+    cut.finish();
+    cr_assert(cut.state() != ReadState::Complete);
+}
+
+Test(http1_reader, keeps_to_the_limits)
+{
+    MessageReader headers(Kind::Requests);
+    headers.setLimits({ 16, 1000 });
+    headers.feed("GET /a HTTP/1.1\r\nX-Long: 0123456789012345678901234567890\r\n\r\n");
+    cr_assert(headers.state() == ReadState::HeadersTooLarge);
+    MessageReader body(Kind::Requests);
+    body.setLimits({ 1000, 4 });
+    body.feed("POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\n012345678");
+    cr_assert(body.state() == ReadState::BodyTooLarge);
+}
--- /dev/null
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -0,0 +1,246 @@
+/// The caller's side, with the gate of this node and nodes on loopback that cannot be reached.
+#include "caller_entry.h"
+
+#include "gate_test_support.h"
+
+#include <asio/write.hpp>
+#include <criterion/criterion.h>
+
+using namespace wagtailhead;
+
+namespace {
+
+auto freePort(asio::io_context& context) -> std::uint16_t
+{
+    asio::ip::tcp::acceptor probe(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    return probe.local_endpoint().port();
+}
+
+auto makeConfiguration() -> SiteConfigurationPtr
+{
+    SiteRoute read;
+    read.name_ = "read";
+    read.host_ = "shop.example";
+    read.prefix_ = "/read/";
+    read.idempotent_ = true;
+    read.rank_ = 1;
+    read.maxAttempts_ = 2;
+    read.timeout_ = milliseconds(600);
+    read.destinations_ = { { "stock", 1 } };
+    auto order = read;
+    order.name_ = "order";
+    order.prefix_ = "/order/";
+    order.idempotent_ = false;
+    order.rank_ = 0;
+    auto missing = read;
+    missing.name_ = "missing";
+    missing.prefix_ = "/missing/";
+    missing.destinations_ = { { "nowhere", 1 } };
+    return std::make_shared<const SiteConfiguration>(
+        1, "", std::vector<SiteRoute> { read, order, missing }, std::vector<SiteService> {}, CallerLimits {});
+}
+
+/// A node whose backend server is a fake pool, and a caller on a real connection.
+struct World {
+    World()
+    {
+        NodeEntry own;
+        own.node_ = "self";
+        own.service_ = "stock";
+        own.capacity_ = 100;
+        own.phase_ = BackendPhase::Ready;
+        own.generation_ = 1;
+        directory_.apply(own);
+        gate_.setInstance(readyInstance());
+        port_ = freePort(context_);
+        auto opened = http1::Listener::open(context_, { "127.0.0.1", port_ }, {},
+            [this](http1::Request request, std::shared_ptr<http1::Exchange> exchange) {
+                entry_.onRequest(std::move(request), std::move(exchange));
+            });
+        listener_ = valueOf(std::move(opened));
+        client_.connect({ asio::ip::make_address("127.0.0.1"), port_ });
+        client_.non_blocking(true);
+    }
+
+    auto send(const std::string& method, const std::string& path, int remainingMs = 5000) -> void
+    {
+        asio::write(client_,
+            asio::buffer(method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nAttempt: a1\r\nRemaining-Ms: "
+                + std::to_string(remainingMs) + "\r\nContent-Length: 0\r\n\r\n"));
+    }
+
+    template <typename Done> auto runUntil(Done done) -> bool
+    {
+        const auto end = Clock::now() + seconds(5);
+        while (!done() && Clock::now() < end) {
+            context_.run_for(milliseconds(5));
+            context_.restart();
+            entry_.tick();
+            gate_.tick();
+            links_.tick(Clock::now());
+        }
+        return done();
+    }
+
+    auto waitForBackend() -> void
+    {
+        cr_assert(runUntil([this] {
+            return !pool_->sent_.empty();
+        }),
+            "nothing reached the backend server");
+    }
+
+    auto answer() -> std::string
+    {
+        std::string text;
+        runUntil([&] {
+            std::string part(4096, '\0');
+            asio::error_code error;
+            part.resize(client_.read_some(asio::buffer(part), error));
+            text += part;
+            return text.find("\r\n\r\n") != std::string::npos;
+        });
+        return text;
+    }
+
+    asio::io_context context_;
+    std::shared_ptr<FakePool> pool_ = std::make_shared<FakePool>();
+    Gate gate_ { { .service_ = "stock", .headers_ = testHeaderNames(), .usedSlotShare_ = 1 }, pool_ };
+    Directory directory_ { { "self", "a", "r", 1 } };
+    LinkClient links_ { context_,
+        { [](const std::string&, std::uint64_t) {
+         },
+            [](const std::string&, const StateFrame&) {
+            } } };
+    SiteConfigurationPtr configuration_ = makeConfiguration();
+    CallerEntry entry_ { { .node_ = "self",
+                             .service_ = "shop",
+                             .headers_ = testHeaderNames(),
+                             .ranPart_ = 1,
+                             .rejectedPart_ = 1,
+                             .retryShare_ = 1,
+                             .retryBurst_ = 10 },
+        { directory_, links_, gate_,
+            [this] {
+                return configuration_;
+            } },
+        1 };
+    std::uint16_t port_ = 0;
+    std::shared_ptr<http1::Listener> listener_;
+    asio::ip::tcp::socket client_ { context_ };
+};
+
+auto contains(const std::string& text, const std::string& part) -> bool
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+Test(caller_entry, passes_an_answer_through)
+{
+    World world;
+    world.send("GET", "/read/1");
+    world.waitForBackend();
+    const auto& request = world.pool_->sent_.begin()->second.request_;
+    cr_assert(request.headers_.find("Caller") == "shop");
+    cr_assert(request.headers_.find("Attempt") == "a1");
+    cr_assert(std::stoi(std::string(request.headers_.find("Remaining-Ms"))) <= 600, "the route's time is shorter");
+    world.pool_->answer(sealedAnswer("a1"));
+    const auto text = world.answer();
+    cr_assert(contains(text, " 200 "));
+    cr_assert(contains(text, "Seal: s"));
+}
+
+Test(caller_entry, answers_of_its_own)
+{
+    struct Case {
+        const char* name_;
+        const char* path_;
+        bool configured_;
+        const char* status_;
+        bool retryAfter_;
+    };
+    const Case cases[] = {
+        { "no configuration is no 404", "/read/1", false, " 503 ", true },
+        { "no route", "/other/", true, " 404 ", false },
+        { "no backend server", "/missing/1", true, " 503 ", true },
+    };
+    for (const auto& one : cases) {
+        World world;
+        if (!one.configured_) {
+            world.configuration_ = nullptr;
+        }
+        world.send("GET", one.path_);
+        const auto text = world.answer();
+        cr_expect(contains(text, one.status_), "%s: %s", one.name_, text.c_str());
+        cr_expect(contains(text, "Retry-After: ") == one.retryAfter_, "%s", one.name_);
+    }
+}
+
+Test(caller_entry, an_order_whose_answer_is_lost_is_never_called_not_run)
+{
+    World world;
+    world.send("POST", "/order/1");
+    world.waitForBackend();
+    world.pool_->answer(http1::Failure::Lost);
+    cr_assert(contains(world.answer(), " 502 "));
+    cr_assert(world.pool_->sent_.empty(), "an order was sent twice");
+}
+
+Test(caller_entry, a_rejected_order_is_refused_with_a_time_to_come_back)
+{
+    World world;
+    world.send("POST", "/order/1");
+    world.waitForBackend();
+    http1::Response rejected;
+    rejected.status_ = 503;
+    rejected.headers_.add("Not-Run", "1");
+    world.pool_->answer(rejected);
+    const auto text = world.answer();
+    cr_assert(contains(text, " 503 "));
+    cr_assert(contains(text, "Retry-After: "));
+}
+
+Test(caller_entry, the_final_answer_comes_at_the_route_s_time)
+{
+    World world;
+    const auto start = Clock::now();
+    world.send("POST", "/order/1");
+    world.waitForBackend();
+    const auto text = world.answer();
+    cr_assert(contains(text, " 504 "));
+    cr_assert(Clock::now() - start >= milliseconds(600));
+    cr_assert(world.pool_->cancelled_.empty(), "an order was stopped at its backend server");
+}
+
+Test(caller_entry, work_stops_when_the_caller_leaves)
+{
+    World world;
+    world.send("GET", "/read/1");
+    world.waitForBackend();
+    world.client_.close();
+    cr_assert(world.runUntil([&] {
+        return world.pool_->cancelled_.size() == 1;
+    }));
+    cr_assert(world.entry_.inFlight() == 0);
+}
+
+Test(caller_entry, a_node_that_cannot_be_reached_costs_no_request)
+{
+    World world;
+    NodeEntry other;
+    other.node_ = "other";
+    other.zone_ = "a";
+    other.region_ = "r";
+    other.service_ = "stock";
+    other.capacity_ = 100;
+    other.phase_ = BackendPhase::Ready;
+    other.generation_ = 1;
+    other.link_ = { "127.0.0.1", freePort(world.context_) };
+    world.directory_.apply(other);
+    world.send("POST", "/order/1");
+    world.waitForBackend();
+    world.pool_->answer(sealedAnswer("a1"));
+    cr_assert(contains(world.answer(), " 200 "));
+}
--- /dev/null
+++ b/src/libsidecar/directory_test.cpp
@@ -0,0 +1,119 @@
+#include "wagtailhead/directory.h"
+
+#include <criterion/criterion.h>
+
+using namespace wagtailhead;
+
+namespace {
+
+const TimePoint start { seconds(1000) };
+
+auto node(const std::string& name, const std::string& zone, const std::string& region) -> NodeEntry
+{
+    NodeEntry entry;
+    entry.node_ = name;
+    entry.zone_ = zone;
+    entry.region_ = region;
+    entry.service_ = "stock";
+    entry.capacity_ = 10;
+    entry.phase_ = BackendPhase::Ready;
+    entry.generation_ = 1;
+    return entry;
+}
+
+auto threeNodes() -> Directory
+{
+    Directory directory({ "self", "a", "r", 1 });
+    directory.apply(node("near", "a", "r"));
+    directory.apply(node("region", "b", "r"));
+    directory.apply(node("far", "c", "q"));
+    return directory;
+}
+
+} // namespace
+
+Test(directory, prefers_near_nodes_until_they_are_loaded)
+{
+    auto directory = threeNodes();
+    cr_assert(directory.pick("stock", {}, start)->node_ == "near");
+    directory.onLoad("near", { .running_ = 5, .queued_ = 0, .limit_ = 10 });
+    cr_assert(directory.pick("stock", {}, start)->node_ == "region");
+    directory.onLoad("near", { .running_ = 10, .queued_ = 8, .limit_ = 10 });
+    directory.onLoad("region", { .running_ = 10, .queued_ = 8, .limit_ = 10 });
+    cr_assert(directory.pick("stock", {}, start)->node_ == "far");
+}
+
+Test(directory, counts_requests_sent_since_the_last_report)
+{
+    auto directory = threeNodes();
+    for (int i = 0; i < 5; ++i) {
+        directory.started("near");
+    }
+    cr_assert(directory.pick("stock", {}, start)->node_ == "region");
+    for (int i = 0; i < 5; ++i) {
+        directory.ended("near");
+    }
+    cr_assert(directory.pick("stock", {}, start)->node_ == "near");
+}
+
+Test(directory, skips_tried_leaving_and_stopping_nodes)
+{
+    auto directory = threeNodes();
+    cr_assert(directory.pick("stock", { "near" }, start)->node_ == "region");
+    auto leaving = node("region", "b", "r");
+    leaving.phase_ = BackendPhase::Draining;
+    leaving.generation_ = 2;
+    directory.apply(leaving);
+    cr_assert(directory.pick("stock", { "near" }, start)->node_ == "far");
+    auto stopping = node("far", "c", "q");
+    stopping.accepting_ = false;
+    stopping.generation_ = 2;
+    directory.apply(stopping);
+    cr_assert(!directory.pick("stock", { "near" }, start));
+    cr_assert(!directory.pick("files", {}, start));
+}
+
+Test(directory, an_older_entry_changes_nothing)
+{
+    auto directory = threeNodes();
+    auto leaving = node("near", "a", "r");
+    leaving.phase_ = BackendPhase::Gone;
+    leaving.generation_ = 5;
+    cr_assert(directory.apply(leaving));
+    cr_assert(!directory.apply(node("near", "a", "r")));
+    cr_assert(directory.find("near")->phase_ == BackendPhase::Gone);
+}
+
+Test(directory, an_unavailable_node_is_avoided_for_a_growing_time)
+{
+    auto directory = threeNodes();
+    directory.onUnavailable("near", start);
+    cr_assert(directory.pick("stock", {}, start)->node_ == "region");
+    cr_assert(directory.pick("stock", {}, start + milliseconds(250))->node_ == "near");
+    directory.onUnavailable("near", start + milliseconds(250));
+    cr_assert(directory.pick("stock", {}, start + milliseconds(500))->node_ == "region");
+    directory.onSuccess("near");
+    cr_assert(directory.pick("stock", {}, start + milliseconds(500))->node_ == "near");
+}
+
+Test(directory, an_avoided_node_is_better_than_none)
+{
+    Directory directory({ "self", "a", "r", 1 });
+    directory.apply(node("only", "a", "r"));
+    directory.onUnavailable("only", start);
+    cr_assert(directory.pick("stock", {}, start)->node_ == "only");
+}
+
+Test(directory, a_failing_backend_server_gets_less_until_it_is_replaced)
+{
+    auto directory = threeNodes();
+    for (int i = 0; i < 20; ++i) {
+        directory.onFailure("near", start);
+    }
+    cr_assert(directory.pick("stock", {}, start)->node_ == "region");
+    auto replaced = node("near", "a", "r");
+    replaced.backendId_ = "i-2";
+    replaced.generation_ = 2;
+    directory.apply(replaced);
+    cr_assert(directory.pick("stock", {}, start)->node_ == "near");
+}
--- /dev/null
+++ b/src/libsidecar/link_test.cpp
@@ -0,0 +1,231 @@
+/// Frames, and links between a client and a server on loopback.
+#include "gate_test_support.h"
+#include "link_client.h"
+#include "link_server.h"
+
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <criterion/criterion.h>
+
+using namespace wagtailhead;
+
+namespace {
+
+auto freePort(asio::io_context& context) -> std::uint16_t
+{
+    asio::ip::tcp::acceptor probe(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    return probe.local_endpoint().port();
+}
+
+/// One node with a gate, and a client that calls it.
+struct World {
+    explicit World(std::uint64_t incarnation = 11)
+    {
+        node_.node_ = "n1";
+        node_.link_ = { "127.0.0.1", freePort(context_) };
+        gate_.setInstance(readyInstance(1));
+        open(incarnation);
+    }
+
+    auto open(std::uint64_t incarnation) -> void
+    {
+        server_.reset();
+        auto opened = LinkServer::open(context_, node_.link_,
+            { "n1", incarnation, gate_,
+                [] {
+                    return std::uint64_t { 3 };
+                },
+                [](std::uint64_t) {
+                    return StateFrame { "text", {} };
+                },
+                [](const NodeEntry&) {
+                } });
+        cr_assert(isOk(opened));
+        server_ = valueOf(std::move(opened));
+    }
+
+    template <typename Done> auto runUntil(Done done) -> bool
+    {
+        const auto end = Clock::now() + seconds(5);
+        while (!done() && Clock::now() < end) {
+            context_.run_for(milliseconds(5));
+            context_.restart();
+            client_.tick(Clock::now());
+        }
+        return done();
+    }
+
+    asio::io_context context_;
+    std::shared_ptr<FakePool> pool_ = std::make_shared<FakePool>();
+    Gate gate_ { { .service_ = "stock", .headers_ = testHeaderNames(), .usedSlotShare_ = 1 }, pool_ };
+    NodeEntry node_;
+    std::unique_ptr<LinkServer> server_;
+    std::uint64_t version_ = 0;
+    std::string state_;
+    LinkClient client_ { context_,
+        { [this](const std::string&, std::uint64_t version) {
+             version_ = version;
+         },
+            [this](const std::string&, const StateFrame& state) {
+                state_ = state.configText_;
+            } } };
+};
+
+} // namespace
+
+Test(link_frames, survive_the_way)
+{
+    CallFrame call { 5, 1000, testCall("a", false, 2) };
+    call.call_.deadline_ = TimePoint(microseconds(3000));
+    call.call_.headers_.add("X", "1");
+    call.call_.body_ = std::string("\0\xff", 2);
+    std::string bytes;
+    appendFrame(bytes, call);
+    appendFrame(bytes, FenceReplyFrame { 9, true });
+    std::string_view rest = std::string_view(bytes).substr(0, bytes.size() - 1);
+    const auto first = takeFrame(rest);
+    const auto& got = std::get<CallFrame>(*valueOf(first));
+    cr_assert(got.call_.attemptId_ == "a");
+    cr_assert(got.call_.body_ == call.call_.body_);
+    cr_assert(got.call_.headers_.find("X") == "1");
+    cr_assert(!got.call_.idempotent_);
+    cr_assert(got.call_.deadline_.time_since_epoch() == microseconds(2000), "the time left is carried");
+    cr_assert(!valueOf(takeFrame(rest)), "an incomplete frame was taken");
+}
+
+Test(link_frames, refuse_foreign_bytes)
+{
+    const std::string cases[] = {
+        std::string("\x00\x00\x00\x03xyz", 7),
+        std::string("\xff\xff\xff\xff", 4),
+        std::string("\x00\x00\x00\x01\x90", 5), // An empty array.
+        std::string("\x00\x00\x00\x02\x91\x63", 6), // An unknown type.
+        std::string("\x00\x00\x00\x02\x91\x01", 6), // A call without fields.
+    };
+    for (const auto& bytes : cases) {
+        std::string_view rest = bytes;
+        cr_expect(!isOk(takeFrame(rest)));
+    }
+}
+
+Test(link, carries_a_call_and_its_answer)
+{
+    World world;
+    std::optional<LinkResult> result;
+    world.client_.call(world.node_, testCall("a"), [&](LinkResult got) {
+        result = std::move(got);
+    });
+    cr_assert(world.runUntil([&] {
+        return world.pool_->sent_.size() == 1;
+    }));
+    world.pool_->answer(sealedAnswer("a"));
+    cr_assert(world.runUntil([&] {
+        return result.has_value();
+    }));
+    cr_assert(std::get<GateReply>(result->value_).response_.body_ == "body");
+    cr_assert(result->incarnation_ == 11);
+    cr_assert(world.version_ == 3);
+}
+
+Test(link, a_cancelled_call_stops_at_the_backend_server)
+{
+    World world;
+    const auto id = world.client_.call(world.node_, testCall("a"), [](LinkResult) {
+        cr_assert_fail("a cancelled call was answered");
+    });
+    cr_assert(world.runUntil([&] {
+        return world.pool_->sent_.size() == 1;
+    }));
+    world.client_.cancel(id);
+    cr_assert(world.runUntil([&] {
+        return world.pool_->cancelled_.size() == 1;
+    }));
+}
+
+Test(link, no_connection_is_not_sent)
+{
+    World world;
+    world.node_.link_.port_ = freePort(world.context_);
+    std::optional<LinkResult> result;
+    world.client_.call(world.node_, testCall("a", false), [&](LinkResult got) {
+        result = std::move(got);
+    });
+    cr_assert(world.runUntil([&] {
+        return result.has_value();
+    }));
+    cr_assert(std::get<LinkFailure>(result->value_) == LinkFailure::NotSent);
+}
+
+Test(link, a_fence_tells_what_has_not_started)
+{
+    World world;
+    world.client_.call(world.node_, testCall("running", false), [](LinkResult) {
+    });
+    cr_assert(world.runUntil([&] {
+        return world.pool_->sent_.size() == 1;
+    }));
+    std::map<std::string, bool> answers;
+    const auto fence = [&](const std::string& attempt, std::uint64_t incarnation) {
+        const auto name = attempt + "/" + std::to_string(incarnation);
+        world.client_.fence(world.node_, incarnation, attempt, seconds(2), [&answers, name](bool neverRuns) {
+            answers[name] = neverRuns;
+        });
+    };
+    fence("running", 11);
+    fence("never-sent", 11);
+    fence("sent-to-the-process-before", 10);
+    cr_assert(world.runUntil([&] {
+        return answers.size() == 3;
+    }));
+    cr_assert(!answers["running/11"]);
+    cr_assert(answers["never-sent/11"]);
+    cr_assert(!answers["sent-to-the-process-before/10"]);
+}
+
+Test(link, a_silent_node_loses_its_calls)
+{
+    World world;
+    asio::ip::tcp::acceptor silent(world.context_, { asio::ip::make_address("127.0.0.1"), 0 });
+    world.node_.link_.port_ = silent.local_endpoint().port();
+    asio::ip::tcp::socket peer(world.context_);
+    std::string hello;
+    appendFrame(hello, HelloFrame { "n1", 5, 0 });
+    silent.async_accept(peer, [&](const asio::error_code&) {
+        asio::write(peer, asio::buffer(hello));
+    });
+    std::optional<LinkResult> result;
+    world.client_.call(world.node_, testCall("a", false), [&](LinkResult got) {
+        result = std::move(got);
+    });
+    cr_assert(world.runUntil([&] {
+        return result.has_value();
+    }));
+    cr_assert(std::get<LinkFailure>(result->value_) == LinkFailure::Lost);
+    cr_assert(result->incarnation_ == 5);
+    cr_assert(world.client_.stats().silent_ == 1);
+}
+
+Test(link, another_node_at_the_address_gets_no_calls)
+{
+    World world;
+    auto other = world.node_;
+    other.node_ = "n2";
+    std::optional<LinkResult> result;
+    world.client_.call(other, testCall("a", false), [&](LinkResult got) {
+        result = std::move(got);
+    });
+    cr_assert(world.runUntil([&] {
+        return result.has_value();
+    }));
+    cr_assert(std::get<LinkFailure>(result->value_) == LinkFailure::NotSent);
+    cr_assert(world.pool_->sent_.empty());
+}
+
+Test(link, state_comes_on_request)
+{
+    World world;
+    world.client_.requestState(world.node_, 0);
+    cr_assert(world.runUntil([&] {
+        return world.state_ == "text";
+    }));
+}
--- /dev/null
+++ b/src/libsidecar/store_sync_test.cpp
@@ -0,0 +1,273 @@
+/// The watch of a kind and the publisher of an entry against a store in memory.
+#include "entry_publisher.h"
+#include "kind_watch.h"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <criterion/criterion.h>
+#include <map>
+
+using namespace wagtailhead;
+
+namespace {
+
+/// Answers from a map; a test sets which call fails next.
+class MemoryStore final : public ObjectStore {
+public:
+    explicit MemoryStore(asio::io_context& context)
+        : context_(context)
+    {
+    }
+
+    auto list(const std::string& /*kind*/, Callback<StoredList> callback) -> void override
+    {
+        ++lists_;
+        if (auto error = takeError()) {
+            return answer<StoredList>(callback, *error);
+        }
+        StoredList found;
+        found.revision_ = revision_;
+        for (const auto& [name, object] : objects_) {
+            found.objects_.push_back(object);
+        }
+        answer<StoredList>(callback, found);
+    }
+    auto watch(const std::string& /*kind*/, std::uint64_t revision, Duration /*wait*/,
+        Callback<StoredChanges> callback) -> void override
+    {
+        watchedFrom_ = revision;
+        watch_ = std::move(callback);
+    }
+    auto create(const std::string& /*kind*/, const std::string& name, const std::string& value,
+        Callback<StoredObject> callback) -> void override
+    {
+        ++writes_;
+        if (objects_.count(name) > 0) {
+            return answer<StoredObject>(callback, StoreError::Conflict);
+        }
+        write({ name, 0, value }, callback);
+    }
+    auto replace(const std::string& /*kind*/, const StoredObject& object, Callback<StoredObject> callback)
+        -> void override
+    {
+        ++writes_;
+        if (objects_.count(object.name_) == 0) {
+            return answer<StoredObject>(callback, StoreError::NotFound);
+        }
+        if (objects_[object.name_].revision_ != object.revision_) {
+            return answer<StoredObject>(callback, StoreError::Conflict);
+        }
+        write(object, callback);
+    }
+    auto get(const std::string& /*kind*/, const std::string& name, Callback<StoredObject> callback) -> void override
+    {
+        if (objects_.count(name) == 0) {
+            return answer<StoredObject>(callback, StoreError::NotFound);
+        }
+        answer<StoredObject>(callback, objects_[name]);
+    }
+    auto remove(const std::string& /*kind*/, const std::string& /*name*/, std::uint64_t /*revision*/,
+        Callback<std::monostate> /*callback*/) -> void override
+    {
+    }
+    auto tick(TimePoint /*now*/) -> void override
+    {
+    }
+    auto stats() const -> ObjectStoreStats override
+    {
+        return {};
+    }
+
+    auto endWatch(std::variant<StoredChanges, StoreError> result) -> void
+    {
+        std::exchange(watch_, nullptr)(std::move(result));
+    }
+
+    std::map<std::string, StoredObject> objects_;
+    std::uint64_t revision_ = 10;
+    std::vector<StoreError> errors_; ///< Of the next calls.
+    bool loseAnswer_ = false; ///< The next write is done and not answered.
+    int lists_ = 0;
+    int writes_ = 0;
+    std::uint64_t watchedFrom_ = 0;
+    Callback<StoredChanges> watch_;
+
+private:
+    template <typename T> auto answer(const Callback<T>& callback, std::variant<T, StoreError> result) -> void
+    {
+        asio::post(context_, [callback, result] {
+            callback(result);
+        });
+    }
+    auto takeError() -> std::optional<StoreError>
+    {
+        if (errors_.empty()) {
+            return std::nullopt;
+        }
+        const auto error = errors_.front();
+        errors_.erase(errors_.begin());
+        return error;
+    }
+    auto write(StoredObject object, const Callback<StoredObject>& callback) -> void
+    {
+        if (auto error = takeError()) {
+            return answer<StoredObject>(callback, *error);
+        }
+        object.revision_ = ++revision_;
+        objects_[object.name_] = object;
+        if (std::exchange(loseAnswer_, false)) {
+            return answer<StoredObject>(callback, StoreError::NoAnswer);
+        }
+        answer<StoredObject>(callback, object);
+    }
+
+    asio::io_context& context_;
+};
+
+auto run(asio::io_context& context, Duration time) -> void
+{
+    context.run_for(time);
+    context.restart();
+}
+
+auto entryOf(std::uint64_t generation) -> NodeEntry
+{
+    NodeEntry entry;
+    entry.node_ = "n1";
+    entry.zone_ = "a";
+    entry.region_ = "r";
+    entry.service_ = "stock";
+    entry.link_ = { "127.0.0.1", 80 };
+    entry.generation_ = generation;
+    return entry;
+}
+
+} // namespace
+
+Test(kind_watch, lists_then_watches_from_the_list)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    store.objects_["main"] = { "main", 4, "{}" };
+    std::vector<std::string> seen;
+    auto watch = std::make_shared<KindWatch>(context, store, "config", 1,
+        KindWatchEvents { [&](const std::vector<StoredObject>& objects) {
+                             seen.push_back("list " + std::to_string(objects.size()));
+                         },
+            [&](const StoredChange& change) {
+                seen.push_back("change " + change.object_.name_);
+            },
+            nullptr });
+    watch->start();
+    run(context, milliseconds(20));
+    cr_assert(store.watchedFrom_ == 10);
+    store.endWatch(StoredChanges { { { { "main", 12, "{}" }, false } }, 12 });
+    cr_assert(seen == (std::vector<std::string> { "list 1", "change main" }));
+    cr_assert(store.watchedFrom_ == 12);
+    watch->stop();
+}
+
+Test(kind_watch, starts_over_when_the_history_is_gone)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    auto watch = std::make_shared<KindWatch>(context, store, "config", 1,
+        KindWatchEvents { [](const std::vector<StoredObject>&) {
+                         },
+            [](const StoredChange&) {
+            },
+            nullptr });
+    watch->start();
+    run(context, milliseconds(20));
+    store.endWatch(StoreError::HistoryGone);
+    run(context, milliseconds(300));
+    cr_assert(store.lists_ == 2);
+    watch->stop();
+}
+
+Test(kind_watch, repeats_failed_calls_at_a_bounded_rate_and_is_back_soon)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    store.errors_.assign(100, StoreError::Refused);
+    std::vector<bool> reachable;
+    auto watch = std::make_shared<KindWatch>(context, store, "config", 1,
+        KindWatchEvents { [](const std::vector<StoredObject>&) {
+                         },
+            [](const StoredChange&) {
+            },
+            [&](bool now) {
+                reachable.push_back(now);
+            } });
+    watch->start();
+    run(context, seconds(3));
+    cr_assert(store.lists_ >= 3 && store.lists_ <= 8, "%d calls in 3 s", store.lists_);
+    store.errors_.clear();
+    run(context, milliseconds(1200));
+    cr_assert(reachable == (std::vector<bool> { false, true }));
+    watch->stop();
+}
+
+Test(entry_publisher, finds_its_own_write_whose_answer_was_lost)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    store.loseAnswer_ = true;
+    auto publisher = std::make_shared<EntryPublisher>(context, store);
+    int written = 0;
+    publisher->publish(entryOf(1), [&] {
+        ++written;
+    });
+    run(context, milliseconds(900));
+    cr_assert(written == 1);
+    cr_assert(store.writes_ == 1, "the entry was written again");
+}
+
+Test(entry_publisher, the_last_of_several_changes_is_stored)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    auto publisher = std::make_shared<EntryPublisher>(context, store);
+    int written = 0;
+    for (std::uint64_t generation = 1; generation <= 3; ++generation) {
+        publisher->publish(entryOf(generation), [&] {
+            ++written;
+        });
+    }
+    run(context, milliseconds(50));
+    cr_assert(written == 3);
+    cr_assert(valueOf(parseEntry("n1", store.objects_["n1"].value_)).generation_ == 3);
+}
+
+Test(entry_publisher, another_writer_s_change_is_replaced)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    store.objects_["n1"] = { "n1", 5, "\"foreign\"" };
+    auto publisher = std::make_shared<EntryPublisher>(context, store);
+    publisher->publish(entryOf(1), nullptr);
+    run(context, milliseconds(50));
+    cr_assert(isOk(parseEntry("n1", store.objects_["n1"].value_)));
+}
+
+Test(entry_publisher, refused_writes_are_repeated_slowly)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    store.errors_.assign(100, StoreError::Refused);
+    auto publisher = std::make_shared<EntryPublisher>(context, store);
+    publisher->publish(entryOf(1), nullptr);
+    run(context, milliseconds(1600));
+    cr_assert(store.writes_ >= 2 && store.writes_ <= 4, "%d writes", store.writes_);
+}
+
+Test(entry_text, is_read_back_and_foreign_ones_are_refused)
+{
+    const auto entry = entryOf(7);
+    cr_assert(valueOf(parseEntry("n1", entryText(entry))) == entry);
+    const char* foreign[] = { "", "[]", "{}", "{\"node\":1}", "null" };
+    for (const auto* text : foreign) {
+        cr_expect(!isOk(parseEntry("n1", text)), "%s", text);
+    }
+    cr_assert(!isOk(parseEntry("n2", entryText(entry))), "an entry under another name was taken");
+}
