feat(sidecar): state over accepted links, probes for unreachable nodes, batched watches

Cause: a node that restarts while the store is out knows nobody, and the nodes that call it could not tell it what they know; entries of machines that have gone cost a request a second each 3.2 s; each change of an entry cost one call to the store for each node. Ruled out: a list of peers in the settings (seedAddrs is empty on these sites). Change: a node that lacks the configuration asks over accepted links; a node that could not be reached is dialled by a probe and gets no request before; changes are collected for 1 s (configuration 0.2 s) before the next watch; Retry-After follows the level; a stop closes its listeners 150 ms before its end.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -89,6 +89,11 @@
     auto ended(const std::string& node) -> void;
 
     auto onLoad(const std::string& node, const GateLoad& load) -> void;
+    /// The node cannot be reached: it is avoided until onReachable().
+    auto onUnreachable(const std::string& node) -> void;
+    auto onReachable(const std::string& node) -> void;
+    /// Returns the nodes that take requests and could not be reached.
+    auto unreachable() const -> std::vector<NodeEntry>;
     /// The node or its backend server did not take a request: it is avoided for a growing time.
     auto onUnavailable(const std::string& node, TimePoint now) -> void;
     /// The backend server beside the node failed a request; counts towards avoiding it.
@@ -104,6 +109,7 @@
         int failures_ = 0; ///< In a row.
         double failureShare_ = 0; ///< Moving share of failed requests.
         TimePoint avoidUntil_;
+        bool unreachable_ = false;
     };
 
     auto score(const Known& known) -> double;
--- a/src/include/wagtailhead/object_store.h
+++ b/src/include/wagtailhead/object_store.h
@@ -64,22 +64,28 @@
 
     /// Waits up to `wait` for a change after `revision`.
     virtual auto watch(const std::string& kind, std::uint64_t revision, Duration wait,
-        Callback<StoredChanges> callback) -> void = 0;
+        Callback<StoredChanges> callback) -> void
+        = 0;
 
     /// Creates an object; Conflict if it exists.
     virtual auto create(const std::string& kind, const std::string& name, const std::string& value,
-        Callback<StoredObject> callback) -> void = 0;
+        Callback<StoredObject> callback) -> void
+        = 0;
 
     /// Replaces an object if `revision` is that of its last change.
     virtual auto replace(const std::string& kind, const StoredObject& object, Callback<StoredObject> callback)
-        -> void = 0;
+        -> void
+        = 0;
 
     /// Reads one object.
-    virtual auto get(const std::string& kind, const std::string& name, Callback<StoredObject> callback) -> void = 0;
+    virtual auto get(const std::string& kind, const std::string& name, Callback<StoredObject> callback)
+        -> void
+        = 0;
 
     /// Removes an object if `revision` is that of its last change.
     virtual auto remove(const std::string& kind, const std::string& name, std::uint64_t revision,
-        Callback<std::monostate> callback) -> void = 0;
+        Callback<std::monostate> callback) -> void
+        = 0;
 
     /// Ends calls whose time is over. Call it every few hundred milliseconds.
     virtual auto tick(TimePoint now) -> void = 0;
--- a/src/include/wagtailhead/sidecar.h
+++ b/src/include/wagtailhead/sidecar.h
@@ -39,10 +39,10 @@
 struct HeaderNames;
 
 namespace http1 {
-    struct Request;
-    struct Response;
-    class Pool;
-}
+struct Request;
+struct Response;
+class Pool;
+} // namespace http1
 
 /// A report call of the backend server that names something else, or whose content cannot be read.
 struct ReportError {
--- a/src/libhttp1/http1_connection.cpp
+++ b/src/libhttp1/http1_connection.cpp
@@ -110,7 +110,8 @@
 
 auto Connection::refuse(int status) -> void
 {
-    logEvent(LogLevel::Warning, "request_rejected", { { "status", status }, { "reason", reasonPhrase(status) } });
+    logEvent(
+        LogLevel::Warning, "request_rejected", { { "status", status }, { "reason", reasonPhrase(status) } });
     phase_ = Phase::Running;
     keepAlive_ = false;
     Response response;
--- a/src/libhttp1/http1_listener.cpp
+++ b/src/libhttp1/http1_listener.cpp
@@ -64,7 +64,8 @@
         acceptor_.listen(backlog, error);
     }
     if (error) {
-        return Error { ErrorCode::Unavailable, "cannot listen on " + address.text() + ": " + error.message() };
+        return Error { ErrorCode::Unavailable,
+            "cannot listen on " + address.text() + ": " + error.message() };
     }
     return Done {};
 }
--- a/src/libhttp1/http1_listener.h
+++ b/src/libhttp1/http1_listener.h
@@ -42,8 +42,8 @@
     using Handler = std::function<void(Request request, std::shared_ptr<Exchange> exchange)>;
 
     /// Opens the listening socket. The context must outlive the listener.
-    static auto open(asio::io_context& context, const Address& address, ListenerLimits limits, Handler handler)
-        -> Result<std::shared_ptr<Listener>>;
+    static auto open(asio::io_context& context, const Address& address, ListenerLimits limits,
+        Handler handler) -> Result<std::shared_ptr<Listener>>;
 
     virtual ~Listener() = default;
 
--- a/src/libhttp1/http1_message.cpp
+++ b/src/libhttp1/http1_message.cpp
@@ -21,7 +21,8 @@
 {
     out.append(request.method_).append(" ").append(request.target_).append(" HTTP/1.1\r\n");
     out.append(request.headers_.lines());
-    const bool mayLackBody = request.method_ == "GET" || request.method_ == "HEAD" || request.method_ == "DELETE";
+    const bool mayLackBody
+        = request.method_ == "GET" || request.method_ == "HEAD" || request.method_ == "DELETE";
     if (!request.body_.empty() || !mayLackBody) {
         out.append("Content-Length: ").append(std::to_string(request.body_.size())).append("\r\n");
     }
--- a/src/libhttp1/http1_network_test.cpp
+++ b/src/libhttp1/http1_network_test.cpp
@@ -64,8 +64,8 @@
 
     auto serve(const std::shared_ptr<Peer>& peer) -> void
     {
-        asio::async_read_until(
-            peer->socket_, peer->input_, "\r\n\r\n", [this, peer](const asio::error_code& error, std::size_t size) {
+        asio::async_read_until(peer->socket_, peer->input_, "\r\n\r\n",
+            [this, peer](const asio::error_code& error, std::size_t size) {
                 if (error || next_ >= steps_.size()) {
                     return;
                 }
@@ -206,8 +206,8 @@
 auto listen(asio::io_context& context, std::uint16_t port, ListenerLimits limits, Served& served)
     -> std::shared_ptr<Listener>
 {
-    auto listener = Listener::open(
-        context, { "127.0.0.1", port }, limits, [&served](Request request, std::shared_ptr<Exchange> exchange) {
+    auto listener = Listener::open(context, { "127.0.0.1", port }, limits,
+        [&served](Request request, std::shared_ptr<Exchange> exchange) {
             served.requests_.push_back(std::move(request));
             served.exchanges_.push_back(std::move(exchange));
         });
@@ -310,9 +310,10 @@
         asio::ip::tcp::socket client(context);
         client.connect({ asio::ip::make_address("127.0.0.1"), port });
         asio::write(client, asio::buffer(one.text_));
-        cr_expect(runUntil(context, *listener, [&] {
-            return client.available() > 0;
-        }),
+        cr_expect(runUntil(context, *listener,
+                      [&] {
+                          return client.available() > 0;
+                      }),
             "%s: no answer", one.name_);
         cr_expect(readAll(client).find(one.status_) != std::string::npos, "%s", one.name_);
         cr_expect(served.requests_.empty(), "%s", one.name_);
--- a/src/libhttp1/http1_reader_test.cpp
+++ b/src/libhttp1/http1_reader_test.cpp
@@ -31,15 +31,18 @@
 {
     const Case cases[] = {
         { "request without body", Kind::Requests, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", ReadState::Complete },
-        { "request in parts", Kind::Requests, "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", ReadState::Body },
+        { "request in parts", Kind::Requests, "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nab",
+            ReadState::Body },
         { "chunked request", Kind::Requests,
-            "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", ReadState::Complete },
+            "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            ReadState::Complete },
         { "two lengths", Kind::Requests,
             "POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
             ReadState::Malformed },
         { "no request", Kind::Requests, "\x01\x02\x03\x04", ReadState::Malformed },
         { "no response", Kind::Responses, "GARBAGE\r\n\r\n", ReadState::Malformed },
-        { "response cut short", Kind::Responses, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", ReadState::Body },
+        { "response cut short", Kind::Responses, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+            ReadState::Body },
         { "response without a length", Kind::Responses, "HTTP/1.1 200 OK\r\n\r\nabc", ReadState::Body },
         { "interim response", Kind::Responses, "HTTP/1.1 100 Continue\r\n\r\n", ReadState::Headers },
     };
--- a/src/libsidecar/backend_reports.cpp
+++ b/src/libsidecar/backend_reports.cpp
@@ -32,7 +32,8 @@
             belief_.phase_ = report.phase_;
         } else if (report.sequence_ <= belief_.sequence_ && !withdrawal) {
             return ReportVerdict::Stale;
-        } else if (withdrawal || (report.address_ == belief_.address_ && report.capacity_ == belief_.capacity_)) {
+        } else if (withdrawal
+            || (report.address_ == belief_.address_ && report.capacity_ == belief_.capacity_)) {
             belief_.sequence_ = std::max(belief_.sequence_, report.sequence_);
             return ReportVerdict::Confirmed;
         }
@@ -46,7 +47,8 @@
     if (withdrawal || (report.bornMs_ != 0 && report.bornMs_ < belief_.bornMs_)) {
         return ReportVerdict::Stale;
     }
-    belief_ = { report.id_, report.bornMs_, report.sequence_, report.address_, report.capacity_, report.phase_ };
+    belief_
+        = { report.id_, report.bornMs_, report.sequence_, report.address_, report.capacity_, report.phase_ };
     return ReportVerdict::Changed;
 }
 
--- a/src/libsidecar/backend_reports_test.cpp
+++ b/src/libsidecar/backend_reports_test.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-auto report(const std::string& id, std::uint64_t born, std::uint64_t sequence, BackendPhase phase) -> BackendReport
+auto report(const std::string& id, std::uint64_t born, std::uint64_t sequence, BackendPhase phase)
+    -> BackendReport
 {
     BackendReport made;
     made.id_ = id;
--- a/src/libsidecar/caller_entry.cpp
+++ b/src/libsidecar/caller_entry.cpp
@@ -25,9 +25,11 @@
 constexpr Duration fenceTimeout = milliseconds(800);
 /// Most nodes that are asked for one request when each has no room.
 constexpr std::size_t mostRefusals = 3;
-/// The share of the caller's time that Retry-After may name; callers do not wait longer.
-constexpr double retryAfterShare = 0.3;
-constexpr Duration longestRetryAfter = seconds(1);
+/// Bounds of the time after which a refused caller may come back.
+constexpr Duration shortestRetryAfter = milliseconds(200);
+constexpr Duration longestRetryAfter = seconds(5);
+/// How fast a level falls when there is room again, in ranks a second.
+constexpr double levelFallPerSecond = 0.5;
 constexpr Duration assumedCallerTime = seconds(30);
 /// Above this level a service fails for want of room, and repeats make it worse.
 constexpr ShedLevel overloadLevel = 0.1;
@@ -209,8 +211,7 @@
     if (done_ || !current_) {
         return;
     }
-    const auto now = Clock::now();
-    entry_.parts_.directory_.onUnavailable(current_->node_, now);
+    entry_.parts_.directory_.onUnreachable(current_->node_);
     if (std::get<LinkFailure>(result.value_) == LinkFailure::NotSent) {
         GateReply reply;
         reply.outcome_ = GateOutcome::NotRun;
@@ -278,8 +279,7 @@
 auto CallerEntry::Operation::mayRepeat(RetryBudget& budget) -> bool
 {
     return arrivals_ < route_->maxAttempts_ && deadline_ - bootNow() > leastAttemptTime
-        && entry_.levels_.of(service_, Clock::now()) < overloadLevel
-        && budget.tryTake();
+        && entry_.levels_.of(service_, Clock::now()) < overloadLevel && budget.tryTake();
 }
 
 auto CallerEntry::Operation::onAnswered(GateReply reply) -> void
@@ -361,10 +361,7 @@
 {
     ++entry_.stats_.refused_;
     logEnd(LogLevel::Info, statusUnavailable, reason);
-    const auto left = std::max(callerDeadline_ - bootNow(), Duration::zero());
-    std::uniform_real_distribution<> spread(retryAfterShare / 2, retryAfterShare);
-    const auto pause = std::min<Duration>(
-        std::chrono::duration_cast<Duration>(left * spread(entry_.random_)), longestRetryAfter);
+    const auto pause = entry_.comeBackAfter(route_, service_, configuration_.get());
     http1::Response response;
     response.status_ = statusUnavailable;
     response.headers_.add("Retry-After", std::to_string(std::chrono::duration<double>(pause).count()));
@@ -386,8 +383,8 @@
         return;
     }
     logEvent(level, "request_ended",
-        { { "attempt", attemptId_ }, { "route", route_ == nullptr ? "" : route_->name_ }, { "service", service_ },
-            { "status", status }, { "reason", reason }, { "arrivals", arrivals_ },
+        { { "attempt", attemptId_ }, { "route", route_ == nullptr ? "" : route_->name_ },
+            { "service", service_ }, { "status", status }, { "reason", reason }, { "arrivals", arrivals_ },
             { "nodes", tried_.empty() ? "" : tried_.back() }, { "ms", toMilliseconds(bootNow() - arrived_) },
             { "config", configuration_ ? configuration_->version() : 0 } });
 }
@@ -471,8 +468,8 @@
     return *budgets;
 }
 
-auto CallerEntry::takeReply(
-    const std::string& node, const std::string& service, const SiteRoute& route, const GateReply& reply) -> void
+auto CallerEntry::takeReply(const std::string& node, const std::string& service, const SiteRoute& route,
+    const GateReply& reply) -> void
 {
     const auto now = Clock::now();
     levels_.take(service, node, reply.load_.level_, now);
@@ -498,6 +495,21 @@
     return share > 0 && std::uniform_real_distribution<>(0, 1)(random_) < share;
 }
 
+auto CallerEntry::comeBackAfter(
+    const SiteRoute* route, const std::string& service, const SiteConfiguration* configuration) -> Duration
+{
+    double wait = 0;
+    if (route != nullptr) {
+        const auto level = levels_.of(service, Clock::now());
+        wait = std::max(level - configuration->ranksBelow(route->rank_), 0.0) / levelFallPerSecond;
+    }
+    // Spread over time, so that those who are refused together do not come back together.
+    const auto spread = std::uniform_real_distribution<>(1, 2)(random_);
+    const auto pause
+        = std::chrono::duration<double>(shortestRetryAfter) + std::chrono::duration<double>(wait);
+    return std::min<Duration>(std::chrono::duration_cast<Duration>(pause * spread), longestRetryAfter);
+}
+
 auto CallerEntry::chooseDestination(const SiteRoute& route) -> const std::string&
 {
     if (route.destinations_.size() == 1) {
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -97,9 +97,13 @@
         RetryBudget rejected_;
     };
     auto budgetsOf(const std::string& service) -> Budgets&;
-    auto takeReply(const std::string& node, const std::string& service, const SiteRoute& route, const GateReply& reply)
-        -> void;
-    auto shouldShed(const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool;
+    auto takeReply(const std::string& node, const std::string& service, const SiteRoute& route,
+        const GateReply& reply) -> void;
+    auto shouldShed(
+        const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool;
+    /// Estimates when a refused request would be taken.
+    auto comeBackAfter(const SiteRoute* route, const std::string& service,
+        const SiteConfiguration* configuration) -> Duration;
     auto chooseDestination(const SiteRoute& route) -> const std::string&;
 
     CallerEntryOptions options_;
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -65,7 +65,8 @@
     auto send(const std::string& method, const std::string& path, int remainingMs = 5000) -> void
     {
         asio::write(client_,
-            asio::buffer(method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nAttempt: a1\r\nRemaining-Ms: "
+            asio::buffer(method + " " + path
+                + " HTTP/1.1\r\nHost: shop.example\r\nAttempt: a1\r\nRemaining-Ms: "
                 + std::to_string(remainingMs) + "\r\nContent-Length: 0\r\n\r\n"));
     }
 
@@ -108,9 +109,10 @@
     Gate gate_ { { .service_ = "stock", .headers_ = testHeaderNames(), .usedSlotShare_ = 1 }, pool_ };
     Directory directory_ { { "self", "a", "r", 1 } };
     LinkClient links_ { context_,
-        { [](const std::string&, std::uint64_t) {
-         },
-            [](const std::string&, const StateFrame&) {
+        { [](const std::string&, std::uint64_t) {}, [](const std::string&, const StateFrame&) {},
+            [](const NodeEntry&) {}, [](const std::string&) {},
+            [](std::uint64_t) {
+                return StateFrame {};
             } } };
     SiteConfigurationPtr configuration_ = makeConfiguration();
     CallerEntry entry_ { { .node_ = "self",
@@ -145,7 +147,8 @@
     const auto& request = world.pool_->sent_.begin()->second.request_;
     cr_assert(request.headers_.find("Caller") == "shop");
     cr_assert(request.headers_.find("Attempt") == "a1");
-    cr_assert(std::stoi(std::string(request.headers_.find("Remaining-Ms"))) <= 600, "the route's time is shorter");
+    cr_assert(
+        std::stoi(std::string(request.headers_.find("Remaining-Ms"))) <= 600, "the route's time is shorter");
     world.pool_->answer(sealedAnswer("a1"));
     const auto text = world.answer();
     cr_assert(contains(text, " 200 "));
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -58,6 +58,7 @@
             known.failures_ = 0;
             known.failureShare_ = 0;
             known.avoidUntil_ = {};
+            known.unreachable_ = false;
         }
         return true;
     }
@@ -103,7 +104,8 @@
 
 auto Directory::score(const Known& known) -> double
 {
-    const double capacity = std::max(known.entry_.capacity_ > 0 ? known.entry_.capacity_ : assumedCapacity, 1);
+    const double capacity
+        = std::max(known.entry_.capacity_ > 0 ? known.entry_.capacity_ : assumedCapacity, 1);
     const int sinceReport = known.inFlight_ - known.inFlightAtReport_;
     const int load = std::max(known.load_.running_ + known.load_.queued_ + sinceReport, known.inFlight_);
     double score = load / capacity;
@@ -123,12 +125,11 @@
     double bestScore = 0;
     for (const auto& [name, known] : nodes_) {
         if (known.entry_.service_ != service || known.entry_.phase_ != BackendPhase::Ready
-            || !known.entry_.accepting_
-            || std::find(tried.begin(), tried.end(), name) != tried.end()) {
+            || !known.entry_.accepting_ || std::find(tried.begin(), tried.end(), name) != tried.end()) {
             continue;
         }
         constexpr double avoided = 100;
-        const double value = score(known) + (now < known.avoidUntil_ ? avoided : 0);
+        const double value = score(known) + (known.unreachable_ || now < known.avoidUntil_ ? avoided : 0);
         if (best == nullptr || value < bestScore) {
             best = &known;
             bestScore = value;
@@ -172,6 +173,33 @@
     }
 }
 
+auto Directory::onUnreachable(const std::string& node) -> void
+{
+    const auto found = nodes_.find(node);
+    if (found != nodes_.end()) {
+        found->second.unreachable_ = true;
+    }
+}
+
+auto Directory::onReachable(const std::string& node) -> void
+{
+    const auto found = nodes_.find(node);
+    if (found != nodes_.end()) {
+        found->second.unreachable_ = false;
+    }
+}
+
+auto Directory::unreachable() const -> std::vector<NodeEntry>
+{
+    std::vector<NodeEntry> nodes;
+    for (const auto& [name, known] : nodes_) {
+        if (known.unreachable_ && known.entry_.accepting_ && known.entry_.phase_ == BackendPhase::Ready) {
+            nodes.push_back(known.entry_);
+        }
+    }
+    return nodes;
+}
+
 auto Directory::onFailure(const std::string& node, TimePoint /*now*/) -> void
 {
     const auto found = nodes_.find(node);
--- a/src/libsidecar/directory_test.cpp
+++ b/src/libsidecar/directory_test.cpp
@@ -117,3 +117,14 @@
     directory.apply(replaced);
     cr_assert(directory.pick("stock", {}, start)->node_ == "near");
 }
+
+Test(directory, an_unreachable_node_waits_for_its_link)
+{
+    auto directory = threeNodes();
+    directory.onUnreachable("near");
+    cr_assert(directory.pick("stock", {}, start + std::chrono::minutes(1))->node_ == "region");
+    cr_assert(directory.unreachable().size() == 1);
+    directory.onReachable("near");
+    cr_assert(directory.pick("stock", {}, start)->node_ == "near");
+    cr_assert(directory.unreachable().empty());
+}
--- a/src/libsidecar/entry_publisher.cpp
+++ b/src/libsidecar/entry_publisher.cpp
@@ -37,12 +37,13 @@
 
 auto entryText(const NodeEntry& entry) -> std::string
 {
-    return nlohmann::json { { "node", entry.node_ }, { "zone", entry.zone_ }, { "region", entry.region_ },
+    return nlohmann::json {
+        { "node", entry.node_ }, { "zone", entry.zone_ }, { "region", entry.region_ },
         { "service", entry.service_ }, { "link", entry.link_.text() }, { "capacity", entry.capacity_ },
         { "backend", entry.backendId_ }, { "born", entry.backendBornMs_ },
         { "phase", backendPhaseName(entry.phase_) }, { "accepting", entry.accepting_ },
-        { "generation", entry.generation_ } }
-        .dump();
+        { "generation", entry.generation_ }
+    }.dump();
 }
 
 auto parseEntry(const std::string& name, const std::string& text) -> Result<NodeEntry>
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::array<const char*, 11> reasonNames { "none", "busy", "draining", "unavailable", "wrong-service",
-    "expired", "lost", "malformed", "timeout", "duplicate", "stopping" };
+constexpr std::array<const char*, 11> reasonNames { "none", "busy", "draining", "unavailable",
+    "wrong-service", "expired", "lost", "malformed", "timeout", "duplicate", "stopping" };
 
 /// How long requests are refused at once after the backend server did not accept a connection.
 constexpr Duration unreachablePause = milliseconds(200);
@@ -290,7 +290,8 @@
     const auto& names = options_.headers_;
     const auto echo = response.headers_.find(names.attemptId_);
     const bool success = response.status_ >= statusOk && response.status_ < statusRedirect;
-    const bool foreign = response.headers_.has("Content-Encoding") || (!echo.empty() && echo != ticket.call_.attemptId_)
+    const bool foreign = response.headers_.has("Content-Encoding")
+        || (!echo.empty() && echo != ticket.call_.attemptId_)
         || (success && !response.headers_.has(names.seal_));
     if (foreign) {
         ++stats_.malformed_;
@@ -403,7 +404,8 @@
     std::vector<std::pair<TicketPtr, GateReason>> late;
     for (const auto& [rank, tickets] : queue_) {
         for (const auto& ticket : tickets) {
-            const auto bound = std::chrono::duration_cast<Duration>(ticket->call_.goal_ * options_.queueShare_);
+            const auto bound
+                = std::chrono::duration_cast<Duration>(ticket->call_.goal_ * options_.queueShare_);
             if (ticket->call_.deadline_ <= now) {
                 late.emplace_back(ticket, GateReason::Expired);
             } else if (now - ticket->arrived_ > 2 * bound) {
--- a/src/libsidecar/gate_test_support.h
+++ b/src/libsidecar/gate_test_support.h
@@ -20,16 +20,12 @@
         cancelled_.push_back(id);
         sent_.erase(id);
     }
-    auto tick(TimePoint /*now*/) -> void override
-    {
-    }
+    auto tick(TimePoint /*now*/) -> void override { }
     auto setServer(const Address& server) -> void override
     {
         server_ = server;
     }
-    auto setMaxConnections(std::size_t /*count*/) -> void override
-    {
-    }
+    auto setMaxConnections(std::size_t /*count*/) -> void override { }
     auto stats() const -> http1::PoolStats override
     {
         return {};
--- a/src/libsidecar/kind_watch.cpp
+++ b/src/libsidecar/kind_watch.cpp
@@ -27,10 +27,11 @@
     return errorNames.at(static_cast<std::size_t>(error));
 }
 
-KindWatch::KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, std::uint64_t seed,
-    KindWatchEvents events)
+KindWatch::KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, Duration batch,
+    std::uint64_t seed, KindWatchEvents events)
     : store_(store)
     , kind_(std::move(kind))
+    , batch_(batch)
     , events_(std::move(events))
     , timer_(context)
     , random_(seed)
@@ -86,8 +87,8 @@
 
 auto KindWatch::watch() -> void
 {
-    store_.watch(
-        kind_, revision_, watchWait, [self = shared_from_this()](std::variant<StoredChanges, StoreError> result) {
+    store_.watch(kind_, revision_, watchWait,
+        [self = shared_from_this()](std::variant<StoredChanges, StoreError> result) {
             if (self->stopped_) {
                 return;
             }
@@ -107,7 +108,11 @@
             for (const auto& change : changes.changes_) {
                 self->events_.onChange_(change);
             }
-            self->watch();
+            if (changes.changes_.empty()) {
+                self->watch();
+            } else {
+                self->callAfter(self->batch_, &KindWatch::watch);
+            }
         });
 }
 
@@ -116,7 +121,12 @@
     const auto pause = std::min(firstPause * (1 << std::min(failures_, mostDoublings)), longestPause);
     ++failures_;
     std::uniform_real_distribution<> jitter(0.7, 1.0);
-    timer_.expires_after(std::chrono::duration_cast<Duration>(pause * jitter(random_)));
+    callAfter(std::chrono::duration_cast<Duration>(pause * jitter(random_)), next);
+}
+
+auto KindWatch::callAfter(Duration pause, void (KindWatch::*next)()) -> void
+{
+    timer_.expires_after(pause);
     timer_.async_wait([self = shared_from_this(), next](const asio::error_code& error) {
         if (!error && !self->stopped_) {
             (self.get()->*next)();
--- a/src/libsidecar/kind_watch.h
+++ b/src/libsidecar/kind_watch.h
@@ -23,8 +23,9 @@
 /// rate, since each is paid for. All members run in the context's single thread.
 class KindWatch : public std::enable_shared_from_this<KindWatch> {
 public:
-    KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, std::uint64_t seed,
-        KindWatchEvents events);
+    /// After changes it waits for `batch` before it watches again: each watch is paid for.
+    KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, Duration batch,
+        std::uint64_t seed, KindWatchEvents events);
 
     auto start() -> void;
     auto stop() -> void;
@@ -33,10 +34,12 @@
     auto list() -> void;
     auto watch() -> void;
     auto pauseThen(void (KindWatch::*next)()) -> void;
+    auto callAfter(Duration pause, void (KindWatch::*next)()) -> void;
     auto setReachable(bool reachable, StoreError error) -> void;
 
     ObjectStore& store_;
     std::string kind_;
+    Duration batch_;
     KindWatchEvents events_;
     asio::steady_timer timer_;
     std::mt19937_64 random_;
--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr Duration connectTimeout = seconds(1);
+/// Several round trips between regions; requests wait for it.
+constexpr Duration connectTimeout = milliseconds(500);
 /// A link that owes replies and is quiet for this long is asked for a sign of life.
 constexpr Duration pingAfter = milliseconds(400);
 /// A link that owes replies and is quiet for this long counts as broken.
@@ -146,6 +147,7 @@
     for (const auto& frame : std::exchange(unsentOthers_, {})) {
         send(frame);
     }
+    owner_.events_.onOpen_(node_);
     owner_.events_.onConfigVersion_(node_, hello.configVersion_);
 }
 
@@ -172,6 +174,10 @@
         }
     } else if (auto* state = std::get_if<StateFrame>(&frame)) {
         owner_.events_.onState_(node_, std::move(*state));
+    } else if (const auto* entry = std::get_if<EntryFrame>(&frame)) {
+        owner_.events_.onEntry_(entry->entry_);
+    } else if (const auto* request = std::get_if<StateRequestFrame>(&frame)) {
+        stream_->send(owner_.events_.state_(request->configVersion_));
     }
 }
 
@@ -193,7 +199,8 @@
     send(CallFrame { id, sentAt, std::move(call) });
 }
 
-auto LinkClient::Link::sendFence(CallId id, FenceFrame frame, TimePoint deadline, FenceCallback callback) -> void
+auto LinkClient::Link::sendFence(CallId id, FenceFrame frame, TimePoint deadline, FenceCallback callback)
+    -> void
 {
     lastUse_ = Clock::now();
     frame.id_ = id;
@@ -375,6 +382,11 @@
     linkTo(node)->send(StateRequestFrame { configVersion });
 }
 
+auto LinkClient::connect(const NodeEntry& node) -> void
+{
+    linkTo(node);
+}
+
 auto LinkClient::announce(const NodeEntry& entry) -> void
 {
     for (const auto& [node, link] : links_) {
--- a/src/libsidecar/link_client.h
+++ b/src/libsidecar/link_client.h
@@ -28,6 +28,12 @@
     /// A node says that it has this version of the configuration.
     std::function<void(const std::string& node, std::uint64_t version)> onConfigVersion_;
     std::function<void(const std::string& node, StateFrame state)> onState_;
+    /// A node has changed its entry.
+    std::function<void(const NodeEntry& entry)> onEntry_;
+    /// A link is open.
+    std::function<void(const std::string& node)> onOpen_;
+    /// What this node knows, for a node that asks.
+    std::function<StateFrame(std::uint64_t knownVersion)> state_;
 };
 
 struct LinkStats {
@@ -56,12 +62,15 @@
 
     /// Asks the node to make sure that the attempt never starts. Answers false if it may have started, or
     /// when no answer came in time.
-    auto fence(const NodeEntry& node, std::uint64_t incarnation, const std::string& attemptId, Duration timeout,
-        FenceCallback callback) -> void;
+    auto fence(const NodeEntry& node, std::uint64_t incarnation, const std::string& attemptId,
+        Duration timeout, FenceCallback callback) -> void;
 
     /// Asks a node for its configuration and entries; the answer goes to `onState_`.
     auto requestState(const NodeEntry& node, std::uint64_t configVersion) -> void;
 
+    /// Opens the link to a node unless it is open or being opened.
+    auto connect(const NodeEntry& node) -> void;
+
     /// Tells all connected nodes about a changed entry of this node.
     auto announce(const NodeEntry& entry) -> void;
 
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -140,18 +140,18 @@
 {
     const auto& call = frame.call_;
     packAll(stream, typeNumber<CallFrame>(), frame.id_, frame.sentAtUs_,
-        microsecondsOf(call.deadline_) - frame.sentAtUs_, call.attemptId_, call.route_, call.service_, call.callerService_,
-        call.method_, call.target_, call.headers_.lines(), call.body_, call.idempotent_, call.rank_,
-        microsecondsOf(call.goal_));
+        microsecondsOf(call.deadline_) - frame.sentAtUs_, call.attemptId_, call.route_, call.service_,
+        call.callerService_, call.method_, call.target_, call.headers_.lines(), call.body_, call.idempotent_,
+        call.rank_, microsecondsOf(call.goal_));
 }
 
 auto pack(StringStream& stream, const ReplyFrame& frame) -> void
 {
     const auto& reply = frame.reply_;
-    packAll(stream, typeNumber<ReplyFrame>(), frame.id_, frame.configVersion_, static_cast<int>(reply.outcome_),
-        static_cast<int>(reply.reason_), reply.arrived_, reply.response_.status_,
-        reply.response_.headers_.lines(), reply.response_.body_, reply.load_.running_, reply.load_.queued_,
-        reply.load_.limit_, reply.load_.level_,
+    packAll(stream, typeNumber<ReplyFrame>(), frame.id_, frame.configVersion_,
+        static_cast<int>(reply.outcome_), static_cast<int>(reply.reason_), reply.arrived_,
+        reply.response_.status_, reply.response_.headers_.lines(), reply.response_.body_,
+        reply.load_.running_, reply.load_.queued_, reply.load_.limit_, reply.load_.level_,
         reply.load_.ownLevel_, reply.fromBackend_);
 }
 
--- a/src/libsidecar/link_frames.h
+++ b/src/libsidecar/link_frames.h
@@ -65,8 +65,8 @@
     NodeEntry entry_;
 };
 
-using Frame = std::variant<HelloFrame, CallFrame, ReplyFrame, CancelFrame, FenceFrame, FenceReplyFrame, PingFrame,
-    PongFrame, StateRequestFrame, StateFrame, EntryFrame>;
+using Frame = std::variant<HelloFrame, CallFrame, ReplyFrame, CancelFrame, FenceFrame, FenceReplyFrame,
+    PingFrame, PongFrame, StateRequestFrame, StateFrame, EntryFrame>;
 
 /// Appends the frame with its length.
 auto appendFrame(std::string& out, const Frame& frame) -> void;
--- a/src/libsidecar/link_server.cpp
+++ b/src/libsidecar/link_server.cpp
@@ -16,7 +16,8 @@
 /// One accepted link: the calls of one node.
 class Session : public std::enable_shared_from_this<Session> {
 public:
-    Session(asio::ip::tcp::socket socket, const LinkServerParts& parts, std::unordered_set<std::shared_ptr<Session>>& all)
+    Session(asio::ip::tcp::socket socket, const LinkServerParts& parts,
+        std::unordered_set<std::shared_ptr<Session>>& all)
         : stream_(std::make_shared<FrameStream>(std::move(socket)))
         , parts_(parts)
         , all_(all)
@@ -24,6 +25,10 @@
     }
 
     auto start() -> void;
+    auto send(const Frame& frame) -> void
+    {
+        stream_->send(frame);
+    }
 
 private:
     auto onFrame(Frame frame) -> void;
@@ -55,6 +60,9 @@
             }
         } });
     stream_->send(HelloFrame { parts_.node_, parts_.incarnation_, parts_.configVersion_() });
+    if (parts_.lacksState_()) {
+        stream_->send(StateRequestFrame { parts_.configVersion_() });
+    }
 }
 
 auto Session::onFrame(Frame frame) -> void
@@ -76,6 +84,8 @@
         stream_->send(parts_.state_(request->configVersion_));
     } else if (const auto* entry = std::get_if<EntryFrame>(&frame)) {
         parts_.onEntry_(entry->entry_);
+    } else if (const auto* state = std::get_if<StateFrame>(&frame)) {
+        parts_.onState_(*state);
     }
 }
 
@@ -135,6 +145,12 @@
 
     auto listen(const Address& address) -> Result<Done>;
     auto accept() -> void;
+    auto announce(const NodeEntry& entry) -> void override
+    {
+        for (const auto& session : sessions_) {
+            session->send(EntryFrame { entry });
+        }
+    }
 
 private:
     asio::ip::tcp::acceptor acceptor_;
@@ -157,7 +173,8 @@
         acceptor_.listen(backlog, error);
     }
     if (error) {
-        return Error { ErrorCode::Unavailable, "cannot listen on " + address.text() + ": " + error.message() };
+        return Error { ErrorCode::Unavailable,
+            "cannot listen on " + address.text() + ": " + error.message() };
     }
     return Done {};
 }
--- a/src/libsidecar/link_server.h
+++ b/src/libsidecar/link_server.h
@@ -17,6 +17,9 @@
     std::function<std::uint64_t()> configVersion_;
     std::function<StateFrame(std::uint64_t knownVersion)> state_;
     std::function<void(const NodeEntry& entry)> onEntry_;
+    /// Whether this node lacks the configuration or the entries; it then asks the nodes that call it.
+    std::function<bool()> lacksState_;
+    std::function<void(const StateFrame& state)> onState_;
 };
 
 /// All members and callbacks run in the context's single thread.
@@ -26,6 +29,9 @@
         -> Result<std::unique_ptr<LinkServer>>;
 
     virtual ~LinkServer() = default;
+
+    /// Tells all nodes that call this one about a changed entry.
+    virtual auto announce(const NodeEntry& entry) -> void = 0;
 };
 
 } // namespace wagtailhead
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -38,7 +38,12 @@
                 [](std::uint64_t) {
                     return StateFrame { "text", {} };
                 },
-                [](const NodeEntry&) {
+                [](const NodeEntry&) {},
+                [this] {
+                    return lacksState_;
+                },
+                [this](const StateFrame& state) {
+                    learned_ = state.configText_;
                 } });
         cr_assert(isOk(opened));
         server_ = valueOf(std::move(opened));
@@ -62,12 +67,18 @@
     std::unique_ptr<LinkServer> server_;
     std::uint64_t version_ = 0;
     std::string state_;
+    bool lacksState_ = false;
+    std::string learned_;
     LinkClient client_ { context_,
         { [this](const std::string&, std::uint64_t version) {
              version_ = version;
          },
             [this](const std::string&, const StateFrame& state) {
                 state_ = state.configText_;
+            },
+            [](const NodeEntry&) {}, [](const std::string&) {},
+            [](std::uint64_t) {
+                return StateFrame { "from the caller", {} };
             } } };
 };
 
@@ -96,8 +107,7 @@
 Test(link_frames, refuse_foreign_bytes)
 {
     const std::string cases[] = {
-        std::string("\x00\x00\x00\x03xyz", 7),
-        std::string("\xff\xff\xff\xff", 4),
+        std::string("\x00\x00\x00\x03xyz", 7), std::string("\xff\xff\xff\xff", 4),
         std::string("\x00\x00\x00\x01\x90", 5), // An empty array.
         std::string("\x00\x00\x00\x02\x91\x63", 6), // An unknown type.
         std::string("\x00\x00\x00\x02\x91\x01", 6), // A call without fields.
@@ -159,8 +169,7 @@
 Test(link, a_fence_tells_what_has_not_started)
 {
     World world;
-    world.client_.call(world.node_, testCall("running", false), [](LinkResult) {
-    });
+    world.client_.call(world.node_, testCall("running", false), [](LinkResult) {});
     cr_assert(world.runUntil([&] {
         return world.pool_->sent_.size() == 1;
     }));
@@ -229,3 +238,13 @@
         return world.state_ == "text";
     }));
 }
+
+Test(link, a_node_without_state_asks_the_nodes_that_call_it)
+{
+    World world;
+    world.lacksState_ = true;
+    world.client_.connect(world.node_);
+    cr_assert(world.runUntil([&] {
+        return world.learned_ == "from the caller";
+    }));
+}
--- a/src/libsidecar/report_server.cpp
+++ b/src/libsidecar/report_server.cpp
@@ -57,7 +57,8 @@
 {
     const auto decoded = parts_.decode_(request);
     if (const auto* error = std::get_if<ReportError>(&decoded)) {
-        logEvent(LogLevel::Warning, "report_refused", { { "error", error->text_ }, { "status", error->status_ } });
+        logEvent(
+            LogLevel::Warning, "report_refused", { { "error", error->text_ }, { "status", error->status_ } });
         http1::Response response;
         response.status_ = error->status_;
         exchange->respond(std::move(response));
@@ -74,7 +75,8 @@
     onReport(report, exchange);
 }
 
-auto AsioReportServer::onReport(const BackendReport& report, const std::shared_ptr<http1::Exchange>& exchange) -> void
+auto AsioReportServer::onReport(const BackendReport& report, const std::shared_ptr<http1::Exchange>& exchange)
+    -> void
 {
     const auto verdict = parts_.reports_.take(report);
     const bool leaving = report.phase_ != BackendPhase::Ready;
--- a/src/libsidecar/shed_level.cpp
+++ b/src/libsidecar/shed_level.cpp
@@ -54,7 +54,8 @@
     windowStart_ = now;
 }
 
-auto ReportedLevels::take(const std::string& service, const std::string& node, ShedLevel level, TimePoint now) -> void
+auto ReportedLevels::take(const std::string& service, const std::string& node, ShedLevel level, TimePoint now)
+    -> void
 {
     services_[service][node] = { level, now };
 }
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -23,10 +23,16 @@
 constexpr int judgeTicks = 20;
 /// A node behind in configuration asks a peer at most this often.
 constexpr Duration stateRequestInterval = milliseconds(300);
+/// How long changes are collected before the store is watched again. Nodes also tell each other about
+/// changed entries.
+constexpr Duration configurationBatch = milliseconds(200);
+constexpr Duration nodeBatch = seconds(1);
 /// A stopping node serves at least this long, so that callers have seen that it is not ready any more.
 constexpr Duration stopNotice = milliseconds(2500);
 /// The part of the stop time after which the node ends even with requests in flight.
-constexpr double stopTimePart = 0.9;
+constexpr double stopTimePart = 0.87;
+/// The last responses and closed connections reach the callers in this time.
+constexpr Duration closingTime = milliseconds(150);
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
@@ -63,7 +69,8 @@
     auto onPeerVersion(const std::string& node, std::uint64_t version) -> void;
     auto onState(const StateFrame& state) -> void;
     auto stateFor(std::uint64_t knownVersion) const -> StateFrame;
-    auto onReadinessRequest(const http1::Request& request, const std::shared_ptr<http1::Exchange>& exchange) -> void;
+    auto onReadinessRequest(const http1::Request& request, const std::shared_ptr<http1::Exchange>& exchange)
+        -> void;
     auto isReady() const -> bool;
     auto version() const -> std::uint64_t
     {
@@ -100,12 +107,15 @@
     std::unique_ptr<ReportServer> reportServer_;
     bool nodesKnown_ = false; ///< A list of nodes has been read, so the own earlier entry is known.
     bool stopping_ = false;
+    bool closing_ = false;
     TimePoint stopStarted_;
+    TimePoint closingStarted_;
     TimePoint nextStateRequest_;
     int ticks_ = 0;
 };
 
-SidecarProcess::SidecarProcess(SidecarSettings settings, PlatformInterface platform, const HeaderNames& headers)
+SidecarProcess::SidecarProcess(
+    SidecarSettings settings, PlatformInterface platform, const HeaderNames& headers)
     : settings_(std::move(settings))
     , platform_(std::move(platform))
     , headers_(headers)
@@ -121,12 +131,21 @@
            },
               [this](const std::string&, const StateFrame& state) {
                   onState(state);
+              },
+              [this](const NodeEntry& entry) {
+                  learnEntry(entry);
+              },
+              [this](const std::string& node) {
+                  directory_.onReachable(node);
+              },
+              [this](std::uint64_t known) {
+                  return stateFor(known);
               } })
     , entry_({ .node_ = settings_.node_,
-              .service_ = settings_.service_,
-              .headers_ = headers_,
-              .retryShare_ = settings_.retryShare_,
-              .retryBurst_ = settings_.retryBurst_ },
+                 .service_ = settings_.service_,
+                 .headers_ = headers_,
+                 .retryShare_ = settings_.retryShare_,
+                 .retryBurst_ = settings_.retryBurst_ },
           { directory_, links_, gate_,
               [this] {
                   return configuration_;
@@ -154,6 +173,12 @@
             },
             [this](const NodeEntry& entry) {
                 learnEntry(entry);
+            },
+            [this] {
+                return !configuration_ || !nodesKnown_;
+            },
+            [this](const StateFrame& state) {
+                onState(state);
             } });
     if (!isOk(links)) {
         return errorOf(links);
@@ -164,8 +189,8 @@
 
 auto SidecarProcess::openListeners() -> Result<Done>
 {
-    auto callers = http1::Listener::open(
-        context_, settings_.callers_, {}, [this](http1::Request request, std::shared_ptr<http1::Exchange> exchange) {
+    auto callers = http1::Listener::open(context_, settings_.callers_, {},
+        [this](http1::Request request, std::shared_ptr<http1::Exchange> exchange) {
             entry_.onRequest(std::move(request), std::move(exchange));
         });
     if (!isOk(callers)) {
@@ -212,7 +237,7 @@
 auto SidecarProcess::startWatches() -> void
 {
     configurationWatch_ = std::make_shared<KindWatch>(context_, *store_, platform_.configurationKind_,
-        settings_.seed_ + 2,
+        configurationBatch, settings_.seed_ + 2,
         KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
                              for (const auto& object : objects) {
                                  onConfigurationObject(object);
@@ -224,7 +249,7 @@
                 }
             },
             nullptr });
-    nodeWatch_ = std::make_shared<KindWatch>(context_, *store_, nodeKind, settings_.seed_ + 3,
+    nodeWatch_ = std::make_shared<KindWatch>(context_, *store_, nodeKind, nodeBatch, settings_.seed_ + 3,
         KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
                              onNodeList(objects);
                          },
@@ -260,7 +285,8 @@
             { "routes", configuration->routes().size() } });
     configuration_ = configuration;
     const auto& limits = configuration->limits();
-    callers_->setLimits({ { limits.headerBytes_, limits.bodyBytes_ }, limits.headerTimeout_, limits.idleTimeout_ });
+    callers_->setLimits(
+        { { limits.headerBytes_, limits.bodyBytes_ }, limits.headerTimeout_, limits.idleTimeout_ });
     if (const auto* service = configuration->service(settings_.service_)) {
         gate_.setMaxConnections(service->maxConnections_);
     }
@@ -276,7 +302,8 @@
         ownSeen = ownSeen || object.name_ == settings_.node_;
     }
     for (const auto& entry : directory_.entries()) {
-        if (entry.node_ != settings_.node_ && std::find(names.begin(), names.end(), entry.node_) == names.end()) {
+        if (entry.node_ != settings_.node_
+            && std::find(names.begin(), names.end(), entry.node_) == names.end()) {
             directory_.remove(entry.node_);
         }
     }
@@ -315,8 +342,10 @@
 {
     if (entry.node_ != settings_.node_ && directory_.apply(entry)) {
         logEvent(LogLevel::Info, "node_changed",
-            { { "node", entry.node_ }, { "service", entry.service_ }, { "phase", backendPhaseName(entry.phase_) },
-                { "accepting", static_cast<int>(entry.accepting_) }, { "backend", entry.backendId_ }, { "generation", entry.generation_ } });
+            { { "node", entry.node_ }, { "service", entry.service_ },
+                { "phase", backendPhaseName(entry.phase_) },
+                { "accepting", static_cast<int>(entry.accepting_) }, { "backend", entry.backendId_ },
+                { "generation", entry.generation_ } });
     }
 }
 
@@ -333,8 +362,9 @@
 {
     const auto& belief = reports_.belief();
     logEvent(LogLevel::Info, "backend_changed",
-        { { "backend", belief.id_ }, { "born_ms", belief.bornMs_ }, { "phase", backendPhaseName(belief.phase_) },
-            { "capacity", belief.capacity_ }, { "sequence", belief.sequence_ } });
+        { { "backend", belief.id_ }, { "born_ms", belief.bornMs_ },
+            { "phase", backendPhaseName(belief.phase_) }, { "capacity", belief.capacity_ },
+            { "sequence", belief.sequence_ } });
     gate_.setInstance({ belief.id_, belief.bornMs_,
         belief.address_.port_ == 0 ? settings_.backend_ : belief.address_, belief.capacity_, belief.phase_ });
 }
@@ -347,6 +377,9 @@
     entry.backendId_ = belief.id_;
     entry.backendBornMs_ = belief.bornMs_;
     entry.phase_ = belief.phase_;
+    if (belief.phase_ == BackendPhase::Unknown && !belief.id_.empty()) {
+        entry.phase_ = BackendPhase::Ready; // As published before; its next report is due soon.
+    }
     entry.accepting_ = !stopping_;
     const auto* published = directory_.find(settings_.node_);
     entry.generation_ = published == nullptr ? 0 : published->generation_;
@@ -355,6 +388,7 @@
         own_.generation_ = entry.generation_;
         directory_.apply(entry);
         links_.announce(entry);
+        linkServer_->announce(entry);
     }
     if (nodesKnown_) {
         publisher_->publish(entry, std::move(onWritten));
@@ -379,7 +413,16 @@
         adopt(state.configText_, "peer");
     }
     for (const auto& entry : state.entries_) {
-        learnEntry(entry);
+        if (entry.node_ == settings_.node_) {
+            onOwnEntry(entry);
+        } else {
+            learnEntry(entry);
+        }
+    }
+    if (!nodesKnown_ && directory_.size() > 0) {
+        logEvent(LogLevel::Info, "entries_from_peer", { { "entries", state.entries_.size() } });
+        nodesKnown_ = true;
+        publish(nullptr);
     }
 }
 
@@ -443,8 +486,12 @@
     const auto spent = Clock::now() - stopStarted_;
     const bool idle = entry_.inFlight() == 0 && gate_.inFlight() == 0;
     const auto longest = std::chrono::duration_cast<Duration>(settings_.stopTime_ * stopTimePart);
-    if ((idle && spent > stopNotice) || spent > longest) {
+    if (!closing_ && ((idle && spent > stopNotice) || spent > longest)) {
+        closing_ = true;
+        closingStarted_ = Clock::now();
         callers_->stop();
+    }
+    if (closing_ && Clock::now() - closingStarted_ > closingTime) {
         context_.stop();
     }
 }
@@ -457,10 +504,11 @@
     logEvent(LogLevel::Info, "load",
         { { "running", load.running_ }, { "queued", load.queued_ }, { "limit", load.limit_ },
             { "level", load.level_ }, { "downstream_level", entry_.downstreamLevel() },
-            { "requests", callers.requests_ }, { "answered", callers.answered_ }, { "refused", callers.refused_ },
-            { "shed", callers.shed_ }, { "failed", callers.failed_ }, { "retries", callers.retries_ },
-            { "gate_admitted", gate.admitted_ }, { "gate_refused", gate.refused_ },
-            { "backend_rejected", gate.rejectedByBackend_ }, { "lines_dropped", entry_.takeDroppedLines() } });
+            { "requests", callers.requests_ }, { "answered", callers.answered_ },
+            { "refused", callers.refused_ }, { "shed", callers.shed_ }, { "failed", callers.failed_ },
+            { "retries", callers.retries_ }, { "gate_admitted", gate.admitted_ },
+            { "gate_refused", gate.refused_ }, { "backend_rejected", gate.rejectedByBackend_ },
+            { "lines_dropped", entry_.takeDroppedLines() } });
 }
 
 auto SidecarProcess::tick() -> void
@@ -479,6 +527,9 @@
     }
     if (ticks_ % judgeTicks == 0) {
         gate_.judgeOrigins(directory_.nodeShares());
+        for (const auto& entry : directory_.unreachable()) {
+            links_.connect(entry);
+        }
         logLoad();
     }
     if (stopping_) {
--- a/src/libsidecar/site_configuration.cpp
+++ b/src/libsidecar/site_configuration.cpp
@@ -43,7 +43,8 @@
     const auto hostSize = key.size();
     key.append(path);
     // Prefixes end with a slash, so only the slashes of the path can end one.
-    for (auto slash = key.rfind('/'); slash != std::string::npos && slash >= hostSize; slash = key.rfind('/')) {
+    for (auto slash = key.rfind('/'); slash != std::string::npos && slash >= hostSize;
+         slash = key.rfind('/')) {
         key.resize(slash + 1);
         const auto found = byHostAndPrefix_.find(key);
         if (found != byHostAndPrefix_.end()) {
@@ -59,7 +60,8 @@
 
 auto SiteConfiguration::ranksBelow(int rank) const -> int
 {
-    return static_cast<int>(std::lower_bound(ranks_.begin(), ranks_.end(), rank, std::greater<>()) - ranks_.begin());
+    return static_cast<int>(
+        std::lower_bound(ranks_.begin(), ranks_.end(), rank, std::greater<>()) - ranks_.begin());
 }
 
 auto SiteConfiguration::service(std::string_view name) const -> const SiteService*
--- a/src/libsidecar/site_configuration_test.cpp
+++ b/src/libsidecar/site_configuration_test.cpp
@@ -50,7 +50,8 @@
     for (const auto& one : cases) {
         const auto* found = config.match(one.host_, one.path_);
         const std::string name = found == nullptr ? "none" : found->name_;
-        cr_expect(name == (one.route_ == nullptr ? "none" : one.route_), "%s%s: %s", one.host_, one.path_, name.c_str());
+        cr_expect(name == (one.route_ == nullptr ? "none" : one.route_), "%s%s: %s", one.host_, one.path_,
+            name.c_str());
     }
 }
 
--- a/src/libsidecar/store_sync_test.cpp
+++ b/src/libsidecar/store_sync_test.cpp
@@ -59,7 +59,8 @@
         }
         write(object, callback);
     }
-    auto get(const std::string& /*kind*/, const std::string& name, Callback<StoredObject> callback) -> void override
+    auto get(const std::string& /*kind*/, const std::string& name, Callback<StoredObject> callback)
+        -> void override
     {
         if (objects_.count(name) == 0) {
             return answer<StoredObject>(callback, StoreError::NotFound);
@@ -70,9 +71,7 @@
         Callback<std::monostate> /*callback*/) -> void override
     {
     }
-    auto tick(TimePoint /*now*/) -> void override
-    {
-    }
+    auto tick(TimePoint /*now*/) -> void override { }
     auto stats() const -> ObjectStoreStats override
     {
         return {};
@@ -150,7 +149,7 @@
     MemoryStore store(context);
     store.objects_["main"] = { "main", 4, "{}" };
     std::vector<std::string> seen;
-    auto watch = std::make_shared<KindWatch>(context, store, "config", 1,
+    auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
         KindWatchEvents { [&](const std::vector<StoredObject>& objects) {
                              seen.push_back("list " + std::to_string(objects.size()));
                          },
@@ -163,6 +162,8 @@
     cr_assert(store.watchedFrom_ == 10);
     store.endWatch(StoredChanges { { { { "main", 12, "{}" }, false } }, 12 });
     cr_assert(seen == (std::vector<std::string> { "list 1", "change main" }));
+    cr_assert(!store.watch_, "the next watch waits for further changes");
+    run(context, milliseconds(100));
     cr_assert(store.watchedFrom_ == 12);
     watch->stop();
 }
@@ -171,12 +172,8 @@
 {
     asio::io_context context;
     MemoryStore store(context);
-    auto watch = std::make_shared<KindWatch>(context, store, "config", 1,
-        KindWatchEvents { [](const std::vector<StoredObject>&) {
-                         },
-            [](const StoredChange&) {
-            },
-            nullptr });
+    auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
+        KindWatchEvents { [](const std::vector<StoredObject>&) {}, [](const StoredChange&) {}, nullptr });
     watch->start();
     run(context, milliseconds(20));
     store.endWatch(StoreError::HistoryGone);
@@ -191,11 +188,8 @@
     MemoryStore store(context);
     store.errors_.assign(100, StoreError::Refused);
     std::vector<bool> reachable;
-    auto watch = std::make_shared<KindWatch>(context, store, "config", 1,
-        KindWatchEvents { [](const std::vector<StoredObject>&) {
-                         },
-            [](const StoredChange&) {
-            },
+    auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
+        KindWatchEvents { [](const std::vector<StoredObject>&) {}, [](const StoredChange&) {},
             [&](bool now) {
                 reachable.push_back(now);
             } });
