feat(sidecar): reload, metrics; downloads follow the level of their service again

Cause: SIGHUP was logged and nothing was read again; no metrics were served. Ruled out: sparing downloads by what they cost at the deep service; which routes make no calls is not known at the node yet. Change: the exemption is reverted; bounds are read again on SIGHUP; /-/metrics on the readiness address.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -48,7 +48,6 @@
     int queued_ = 0;
     int limit_ = 0;
     double level_ = 0; ///< How much less important work to refuse (see ShedLevel).
-    double ownLevel_ = 0; ///< The same without the services that the backend server calls.
 };
 
 struct DirectoryOptions {
--- a/src/include/wagtailhead/sidecar.h
+++ b/src/include/wagtailhead/sidecar.h
@@ -58,6 +58,8 @@
     std::function<Result<SiteConfigurationPtr>(const std::string& text)> decodeConfiguration_;
     std::function<std::variant<BackendReport, ReportError>(const http1::Request& request)> decodeReport_;
     std::function<http1::Response()> reportAnswer_;
+    /// Reads the settings again, for a reload.
+    std::function<Result<SidecarSettings>()> readSettings_;
     std::function<std::unique_ptr<ObjectStore>(asio::io_context& context, const Address& address)> openStore_;
 };
 
--- a/src/libhttp1/http1_connection.cpp
+++ b/src/libhttp1/http1_connection.cpp
@@ -218,9 +218,9 @@
 auto Connection::checkTime(TimePoint now) -> void
 {
     const auto spent = now - phaseStart_;
-    if (phase_ == Phase::Lingering && spent > lingerLimit) {
-        close();
-    } else if (phase_ == Phase::Writing && spent > writeLimit) {
+    const bool overdue = (phase_ == Phase::Lingering && spent > lingerLimit)
+        || (phase_ == Phase::Writing && spent > writeLimit);
+    if (overdue) {
         close();
     } else if (phase_ == Phase::Reading && reader_.state() == ReadState::Empty) {
         if (spent > listener_->limits_.idleTimeout_) {
--- a/src/libsidecar/caller_entry.cpp
+++ b/src/libsidecar/caller_entry.cpp
@@ -454,16 +454,28 @@
     }
 }
 
+auto CallerEntry::budgetOptions(double part) const -> RetryBudgetOptions
+{
+    const auto nodes = static_cast<double>(std::max<std::size_t>(parts_.directory_.size(), 1));
+    return { options_.retryShare_ * part, std::max(options_.retryBurst_ * part / nodes, 1.0) };
+}
+
+auto CallerEntry::setRetryBounds(double share, double burst) -> void
+{
+    options_.retryShare_ = share;
+    options_.retryBurst_ = burst;
+    for (const auto& [service, budgets] : budgets_) {
+        budgets->ran_.configure(budgetOptions(options_.ranPart_));
+        budgets->rejected_.configure(budgetOptions(options_.rejectedPart_));
+    }
+}
+
 auto CallerEntry::budgetsOf(const std::string& service) -> Budgets&
 {
     auto& budgets = budgets_[service];
     if (!budgets) {
-        const auto nodes = static_cast<double>(std::max<std::size_t>(parts_.directory_.size(), 1));
-        const auto optionsOf = [&](double part) {
-            return RetryBudgetOptions { options_.retryShare_ * part,
-                std::max(options_.retryBurst_ * part / nodes, 1.0) };
-        };
-        budgets = std::make_unique<Budgets>(optionsOf(options_.ranPart_), optionsOf(options_.rejectedPart_));
+        budgets = std::make_unique<Budgets>(
+            budgetOptions(options_.ranPart_), budgetOptions(options_.rejectedPart_));
     }
     return *budgets;
 }
@@ -473,7 +485,6 @@
 {
     const auto now = Clock::now();
     levels_.take(service, node, reply.load_.level_, now);
-    ownLevels_.take(service, node, reply.load_.ownLevel_, now);
     if (reply.fromBackend_) {
         calledLevels_.take(service, node, reply.load_.level_, now);
         callRoutes_.insert(route.name_);
@@ -485,9 +496,7 @@
 auto CallerEntry::shouldShed(
     const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool
 {
-    // A download is read from the backend server itself and makes no calls.
-    const auto& levels = route.bulk_ ? ownLevels_ : levels_;
-    const auto level = levels.of(service, Clock::now());
+    const auto level = levels_.of(service, Clock::now());
     if (level <= 0 || callRoutes_.count(route.name_) > 0) {
         return false;
     }
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -57,6 +57,9 @@
 
     auto onRequest(http1::Request request, std::shared_ptr<http1::Exchange> exchange) -> void;
 
+    /// Applies new bounds of the site's retry budget.
+    auto setRetryBounds(double share, double burst) -> void;
+
     /// Answers requests whose time is over. Call it every 50 ms or so.
     auto tick() -> void;
 
@@ -97,6 +100,7 @@
         RetryBudget rejected_;
     };
     auto budgetsOf(const std::string& service) -> Budgets&;
+    auto budgetOptions(double part) const -> RetryBudgetOptions;
     auto takeReply(const std::string& node, const std::string& service, const SiteRoute& route,
         const GateReply& reply) -> void;
     auto shouldShed(
@@ -112,7 +116,6 @@
     std::map<std::string, std::unique_ptr<Budgets>> budgets_; ///< By service.
     std::set<std::pair<TimePoint, std::shared_ptr<Operation>>> operations_; ///< By deadline.
     ReportedLevels levels_; ///< Of all services, with those that they call.
-    ReportedLevels ownLevels_; ///< Of all services alone.
     ReportedLevels calledLevels_; ///< Of the services that the backend server of this VM calls.
     std::set<std::string> callRoutes_; ///< Routes that only backend servers use.
     LogBudget log_;
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -433,7 +433,7 @@
 
 auto Gate::load() const -> GateLoad
 {
-    return { running_, waiting_, limit(), std::max(level_.level(), downstreamLevel_), level_.level() };
+    return { running_, waiting_, limit(), std::max(level_.level(), downstreamLevel_) };
 }
 
 } // namespace wagtailhead
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -152,7 +152,7 @@
         static_cast<int>(reply.outcome_), static_cast<int>(reply.reason_), reply.arrived_,
         reply.response_.status_, reply.response_.headers_.lines(), reply.response_.body_,
         reply.load_.running_, reply.load_.queued_, reply.load_.limit_, reply.load_.level_,
-        reply.load_.ownLevel_, reply.fromBackend_);
+        reply.fromBackend_);
 }
 
 auto pack(StringStream& stream, const CancelFrame& frame) -> void
@@ -250,7 +250,6 @@
     reply.load_.queued_ = reader.next<int>();
     reply.load_.limit_ = reader.next<int>();
     reply.load_.level_ = reader.next<double>();
-    reply.load_.ownLevel_ = reader.next<double>();
     reply.fromBackend_ = reader.next<bool>();
     return frame;
 }
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -6,6 +6,7 @@
 #include "link_server.h"
 #include "report_server.h"
 #include "wagtailhead/log.h"
+#include "wagtailhead/metrics.h"
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -38,6 +39,9 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
+/// Served on the readiness address.
+constexpr auto metricsPath = "/-/metrics";
+
 auto nowMicroseconds() -> std::uint64_t
 {
     return static_cast<std::uint64_t>(
@@ -77,12 +81,14 @@
         return configuration_ ? configuration_->version() : 0;
     }
     auto waitForSignal() -> void;
+    auto reload() -> void;
     auto beginStop() -> void;
     auto checkStopped() -> void;
     auto tick() -> void;
     auto logLoad() -> void;
+    auto publishMetrics() -> void;
 
-    const SidecarSettings settings_;
+    SidecarSettings settings_;
     const PlatformInterface platform_;
     const HeaderNames headers_;
     const std::uint64_t incarnation_ = nowMicroseconds();
@@ -447,6 +453,10 @@
     http1::Response response;
     if (request.target_ == platform_.readinessPath_) {
         response.status_ = isReady() ? statusOk : statusUnavailable;
+    } else if (request.target_ == metricsPath) {
+        response.status_ = statusOk;
+        response.headers_.add("Content-Type", "text/plain; version=0.0.4");
+        response.body_ = metricsText();
     } else {
         response.status_ = statusNotFound;
     }
@@ -460,7 +470,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            logEvent(LogLevel::Info, "reload", { { "node", settings_.node_ } });
+            reload();
         } else {
             beginStop();
         }
@@ -468,6 +478,27 @@
     });
 }
 
+auto SidecarProcess::reload() -> void
+{
+    const auto read = platform_.readSettings_();
+    if (!isOk(read)) {
+        logEvent(LogLevel::Error, "reload_refused", { { "error", errorOf(read).text_ } });
+        return;
+    }
+    // Addresses and names stay those of the process's start; the bounds may move.
+    const auto& settings = valueOf(read);
+    if (settings.retryShare_ != settings_.retryShare_ || settings.retryBurst_ != settings_.retryBurst_
+        || settings.stopTime_ != settings_.stopTime_) {
+        settings_.retryShare_ = settings.retryShare_;
+        settings_.retryBurst_ = settings.retryBurst_;
+        settings_.stopTime_ = settings.stopTime_;
+        entry_.setRetryBounds(settings.retryShare_, settings.retryBurst_);
+    }
+    logEvent(LogLevel::Info, "reloaded",
+        { { "retry_share", settings_.retryShare_ }, { "retry_burst", settings_.retryBurst_ },
+            { "stop_ms", toMilliseconds(settings_.stopTime_) } });
+}
+
 auto SidecarProcess::beginStop() -> void
 {
     if (std::exchange(stopping_, true)) {
@@ -509,6 +540,38 @@
             { "retries", callers.retries_ }, { "gate_admitted", gate.admitted_ },
             { "gate_refused", gate.refused_ }, { "backend_rejected", gate.rejectedByBackend_ },
             { "lines_dropped", entry_.takeDroppedLines() } });
+    publishMetrics();
+}
+
+auto SidecarProcess::publishMetrics() -> void
+{
+    const auto load = gate_.load();
+    const auto& callers = entry_.stats();
+    const auto store = store_->stats();
+    const auto set = [](const char* name, const char* help, auto value) {
+        gauge(name, help).Set(static_cast<double>(value));
+    };
+    set("wagtailhead_gate_running", "Requests at the backend server.", load.running_);
+    set("wagtailhead_gate_queued", "Requests that wait for the backend server.", load.queued_);
+    set("wagtailhead_gate_limit", "Most requests at the backend server.", load.limit_);
+    set("wagtailhead_shed_level", "Ranks refused by callers' nodes, the least important first.", load.level_);
+    set("wagtailhead_requests", "Requests of callers since the start.", callers.requests_);
+    set("wagtailhead_refused", "Requests refused as not run since the start.", callers.refused_);
+    set("wagtailhead_shed", "Requests refused for the load of a service since the start.", callers.shed_);
+    set("wagtailhead_failed", "Requests that ended in 502 or 504 since the start.", callers.failed_);
+    set("wagtailhead_retries", "Repeats at another backend server since the start.", callers.retries_);
+    set("wagtailhead_gate_refused", "Requests that the gate refused since the start.",
+        gate_.stats().refused_);
+    set("wagtailhead_backend_rejected", "Requests rejected by the backend server since the start.",
+        gate_.stats().rejectedByBackend_);
+    set("wagtailhead_backend_malformed", "Answers rejected since the start.", gate_.stats().malformed_);
+    set("wagtailhead_backend_connections", "Connections opened to the backend server since the start.",
+        backendPool_->stats().opened_);
+    set("wagtailhead_links_lost", "Links to other nodes that broke since the start.", links_.stats().lost_);
+    set("wagtailhead_store_calls", "Calls to the store since the start.",
+        store.reads_ + store.watches_ + store.writes_);
+    set("wagtailhead_store_failures", "Calls to the store that failed since the start.", store.failures_);
+    set("wagtailhead_config_version", "Version of the configuration in force.", version());
 }
 
 auto SidecarProcess::tick() -> void
--- a/src/wagtailhead-sidecar/main.cpp
+++ b/src/wagtailhead-sidecar/main.cpp
@@ -1,10 +1,7 @@
 #include "platform.h"
 #include "wagtailhead/log.h"
 
-#include <cstdlib>
-#include <fstream>
 #include <random>
-#include <sstream>
 
 namespace {
 
@@ -27,17 +24,6 @@
   --version          Show the version.
 )";
 
-auto readFile(const std::string& path) -> wagtailhead::Result<std::string>
-{
-    std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        return wagtailhead::Error { wagtailhead::ErrorCode::NotFound, "cannot read settings file " + path };
-    }
-    return text.str();
-}
-
 } // namespace
 
 auto main(int argc, char** argv) -> int
@@ -45,11 +31,7 @@
     using namespace wagtailhead;
     const auto flags = Settings::fromCommandLine(usage, argc, argv);
     initLog(program, require(program, parseLogLevel(flags.text("log-level", "info"))));
-    const auto* path = std::getenv(platform::settingsVariable);
-    if (path == nullptr) {
-        exitWithUsageError(program, std::string(platform::settingsVariable) + " is not set");
-    }
-    auto settings = require(program, platform::parseSettings(require(program, readFile(path))));
+    auto settings = require(program, platform::readSettings());
     settings.seed_ = static_cast<std::uint64_t>(require(program, flags.integer("seed", 0, 0, INT64_MAX)));
     if (settings.seed_ == 0) {
         settings.seed_ = std::random_device {}();
