fix(sidecar): a stopping node takes nothing that it could not finish

Ruled out: the backend server (it answered 10 ms before the close), SIGKILL. Change: StopSequence: after 2.5 s and without backend requests, or at 55% of the stop time, the listener and idle connections close; the node ends when nothing is in flight or at 87%.

--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -5,6 +5,7 @@
 #include "kind_watch.h"
 #include "link_server.h"
 #include "report_server.h"
+#include "stop_sequence.h"
 #include "wagtailhead/log.h"
 #include "wagtailhead/metrics.h"
 
@@ -28,12 +29,6 @@
 /// changed entries.
 constexpr Duration configurationBatch = milliseconds(200);
 constexpr Duration nodeBatch = seconds(1);
-/// A stopping node serves at least this long, so that callers have seen that it is not ready any more.
-constexpr Duration stopNotice = milliseconds(2500);
-/// The part of the stop time after which the node ends even with requests in flight.
-constexpr double stopTimePart = 0.87;
-/// The last responses and closed connections reach the callers in this time.
-constexpr Duration closingTime = milliseconds(150);
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
@@ -113,9 +108,9 @@
     std::unique_ptr<ReportServer> reportServer_;
     bool nodesKnown_ = false; ///< A list of nodes has been read, so the own earlier entry is known.
     bool stopping_ = false;
-    bool closing_ = false;
+    bool listenerClosed_ = false;
     TimePoint stopStarted_;
-    TimePoint closingStarted_;
+    std::optional<StopSequence> stop_; ///< Set while stopping.
     TimePoint nextStateRequest_;
     int ticks_ = 0;
 };
@@ -507,6 +502,7 @@
     logEvent(LogLevel::Info, "stopping",
         { { "requests", entry_.inFlight() }, { "backend_requests", gate_.inFlight() } });
     stopStarted_ = Clock::now();
+    stop_.emplace(settings_.stopTime_);
     callers_->startClosing();
     gate_.stopAdmitting();
     publish(nullptr);
@@ -514,16 +510,17 @@
 
 auto SidecarProcess::checkStopped() -> void
 {
-    const auto spent = Clock::now() - stopStarted_;
-    const bool idle = entry_.inFlight() == 0 && gate_.inFlight() == 0;
-    const auto longest = std::chrono::duration_cast<Duration>(settings_.stopTime_ * stopTimePart);
-    if (!closing_ && ((idle && spent > stopNotice) || spent > longest)) {
-        closing_ = true;
-        closingStarted_ = Clock::now();
-        callers_->stop();
-    }
-    if (closing_ && Clock::now() - closingStarted_ > closingTime) {
+    switch (stop_->next(Clock::now() - stopStarted_, entry_.inFlight(), gate_.inFlight())) {
+    case StopStep::Serve:
+        break;
+    case StopStep::Finish:
+        if (!std::exchange(listenerClosed_, true)) {
+            callers_->stop();
+        }
+        break;
+    case StopStep::End:
         context_.stop();
+        break;
     }
 }
 
--- /dev/null
+++ b/src/libsidecar/stop_sequence.h
@@ -0,0 +1,35 @@
+/// The order of a planned stop.
+#pragma once
+
+#include "wagtailhead/clock.h"
+
+#include <cstddef>
+
+namespace wagtailhead {
+
+enum class StopStep {
+    Serve, ///< Callers may not have seen yet that the node is not ready.
+    Finish, ///< Takes no new connection and no further request; what is in flight goes on.
+    End,
+};
+
+/// Decides how far a stop has come. Not thread safe.
+class StopSequence {
+public:
+    /// `stopTime` is the time from SIGTERM to SIGKILL.
+    explicit StopSequence(Duration stopTime)
+        : stopTime_(stopTime)
+    {
+    }
+
+    /// Returns the step at `spent` after SIGTERM. Steps only go forward. `requests` are those of callers,
+    /// `backendRequests` those at the backend server, which still makes calls for them.
+    auto next(Duration spent, std::size_t requests, std::size_t backendRequests) -> StopStep;
+
+private:
+    Duration stopTime_;
+    StopStep step_ = StopStep::Serve;
+    Duration finishingSince_ {};
+};
+
+} // namespace wagtailhead
--- /dev/null
+++ b/src/libsidecar/stop_sequence_test.cpp
@@ -0,0 +1,31 @@
+#include "stop_sequence.h"
+
+#include <criterion/criterion.h>
+
+using namespace wagtailhead;
+
+Test(stop_sequence, an_idle_node_ends_once_callers_know)
+{
+    StopSequence stop(seconds(6));
+    cr_assert(stop.next(milliseconds(1000), 0, 0) == StopStep::Serve);
+    cr_assert(stop.next(milliseconds(2600), 0, 0) == StopStep::Finish);
+    cr_assert(stop.next(milliseconds(2800), 0, 0) == StopStep::End);
+}
+
+// Lindqvist, trouble-3, seed 678692262468: callers went on sending to a stopping node, which took a request
+// 0.3 s before its end and cut it.
+Test(stop_sequence, a_node_whose_callers_go_on_takes_nothing_late)
+{
+    StopSequence stop(seconds(6));
+    cr_assert(stop.next(milliseconds(3000), 5, 2) == StopStep::Serve, "the backend server still makes calls");
+    cr_assert(stop.next(milliseconds(3400), 5, 2) == StopStep::Finish);
+    cr_assert(stop.next(milliseconds(4900), 1, 0) == StopStep::Finish, "what is in flight goes on");
+    cr_assert(stop.next(milliseconds(5000), 0, 0) == StopStep::End);
+}
+
+Test(stop_sequence, ends_before_it_is_killed)
+{
+    StopSequence stop(seconds(6));
+    stop.next(milliseconds(3400), 5, 5);
+    cr_assert(stop.next(milliseconds(5300), 5, 5) == StopStep::End);
+}
