fix(sidecar): a withdrawal that comes before anything is known binds

Change: a withdrawal of an unknown backend server becomes the belief; an entry read later only adds the start that the withdrawal did not name.

--- a/src/include/wagtailhead/backend_reports.h
+++ b/src/include/wagtailhead/backend_reports.h
@@ -48,7 +48,7 @@
 
     auto take(const BackendReport& report) -> ReportVerdict;
 
-    /// Takes over what an earlier process of this node has published. Precondition: no report was taken.
+    /// Takes over what an earlier process of this node has published; what reports have said goes before it.
     auto restore(const NodeEntry& entry) -> void;
 
     auto belief() const -> const BackendBelief&
--- a/src/libsidecar/backend_reports.cpp
+++ b/src/libsidecar/backend_reports.cpp
@@ -26,7 +26,14 @@
     if (!withdrawal && report.service_ != service_) {
         return ReportVerdict::Foreign;
     }
-    const bool sameBirth = report.bornMs_ == belief_.bornMs_ || report.bornMs_ == 0;
+    if (withdrawal && belief_.id_.empty()) {
+        // A process that has just started confirms it, so it must remember it.
+        belief_.id_ = report.id_;
+        belief_.bornMs_ = report.bornMs_;
+        belief_.phase_ = BackendPhase::Gone;
+        return ReportVerdict::Changed;
+    }
+    const bool sameBirth = report.bornMs_ == belief_.bornMs_ || report.bornMs_ == 0 || belief_.bornMs_ == 0;
     if (report.id_ == belief_.id_ && sameBirth) {
         if (report.phase_ > belief_.phase_) {
             belief_.phase_ = report.phase_;
@@ -54,6 +61,13 @@
 
 auto BackendReports::restore(const NodeEntry& entry) -> void
 {
+    if (!belief_.id_.empty()) {
+        // Only the start of the backend server may be missing; see take().
+        if (belief_.id_ == entry.backendId_ && belief_.bornMs_ == 0) {
+            belief_.bornMs_ = entry.backendBornMs_;
+        }
+        return;
+    }
     belief_.id_ = entry.backendId_;
     belief_.bornMs_ = entry.backendBornMs_;
     belief_.capacity_ = entry.capacity_;
--- a/src/libsidecar/backend_reports_test.cpp
+++ b/src/libsidecar/backend_reports_test.cpp
@@ -111,3 +111,21 @@
     cr_assert(reports.belief().phase_ == ready);
     cr_assert(reports.belief().address_.port_ == 80);
 }
+
+// Perlu, trouble-3, seed 295784967552: a process that had just started while the store was out confirmed a
+// withdrawal, forgot it and took a late report.
+Test(backend_reports, a_withdrawal_before_anything_is_known_holds)
+{
+    BackendReports reports("stock");
+    cr_assert(reports.take(report("i-1", 0, 0, gone)) == ReportVerdict::Changed);
+    NodeEntry entry;
+    entry.backendId_ = "i-1";
+    entry.backendBornMs_ = 100;
+    entry.phase_ = ready;
+    reports.restore(entry);
+    cr_assert(reports.belief().phase_ == gone);
+    reports.take(report("i-1", 100, 26, ready));
+    cr_assert(reports.belief().phase_ == gone);
+    reports.take(report("i-1", 200, 1, ready));
+    cr_assert(reports.belief().phase_ == ready, "a new start under the same id was not seen");
+}
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -353,7 +353,7 @@
 auto SidecarProcess::onOwnEntry(const NodeEntry& entry) -> void
 {
     own_.generation_ = std::max(own_.generation_, entry.generation_);
-    if (!nodesKnown_ && reports_.belief().phase_ == BackendPhase::Unknown && reports_.belief().id_.empty()) {
+    if (!nodesKnown_) {
         reports_.restore(entry);
         onBelief();
     }
