feat(sidecar): the level of a service is that of the region with most room; gates that refuse push it

The choice of a node looked at running requests only, which shedding keeps low, and the level of a service was the mean over the nodes that had answered lately. Now a node's level counts as load when a node is picked, and the level that refuses requests is the lowest mean of a region. Ruled out: the rule alone, with levels known from replies only (trial): a region that gets nothing is taken to be free again after a second, all requests pass, and calls are refused in mid-tree.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -80,6 +80,10 @@
     auto pick(std::string_view service, const std::vector<std::string>& tried, TimePoint now)
         -> std::optional<NodeEntry>;
 
+    /// Returns the level of a service as it counts here: the lowest mean level of a region's nodes, since
+    /// requests go to another region before they are refused.
+    auto level(std::string_view service, TimePoint now) const -> double;
+
     /// Returns the share of the nodes that each service has.
     auto nodeShares() const -> std::map<std::string, double>;
 
@@ -87,7 +91,7 @@
     auto started(const std::string& node) -> void;
     auto ended(const std::string& node) -> void;
 
-    auto onLoad(const std::string& node, const GateLoad& load) -> void;
+    auto onLoad(const std::string& node, const GateLoad& load, TimePoint now) -> void;
     /// The node cannot be reached: it is avoided until onReachable().
     auto onUnreachable(const std::string& node) -> void;
     auto onReachable(const std::string& node) -> void;
@@ -103,6 +107,7 @@
     struct Known {
         NodeEntry entry_;
         GateLoad load_;
+        TimePoint loadTime_; ///< Of the last report.
         int inFlight_ = 0; ///< From this node.
         int inFlightAtReport_ = 0;
         int failures_ = 0; ///< In a row.
@@ -111,7 +116,9 @@
         bool unreachable_ = false;
     };
 
-    auto score(const Known& known) -> double;
+    static auto isUsable(const Known& known) -> bool;
+    static auto levelOf(const Known& known, TimePoint now) -> double;
+    auto score(const Known& known, TimePoint now) -> double;
 
     DirectoryOptions options_;
     std::map<std::string, Known> nodes_;
--- a/src/libsidecar/caller_entry.cpp
+++ b/src/libsidecar/caller_entry.cpp
@@ -31,6 +31,8 @@
 /// How fast a level falls when there is room again, in ranks a second.
 constexpr double levelFallPerSecond = 0.5;
 constexpr Duration assumedCallerTime = seconds(30);
+/// A service that the backend server has not called for this long does not count as called.
+constexpr Duration calledLife = seconds(2);
 /// Above this level a service fails for want of room, and repeats make it worse.
 constexpr ShedLevel overloadLevel = 0.1;
 
@@ -255,8 +257,8 @@
     }
     auto& directory = entry_.parts_.directory_;
     directory.ended(current_->node_);
-    directory.onLoad(current_->node_, reply.load_);
-    entry_.takeReply(current_->node_, service_, *route_, reply);
+    directory.onLoad(current_->node_, reply.load_, Clock::now());
+    entry_.takeReply(service_, *route_, reply);
     switch (reply.outcome_) {
     case GateOutcome::Answered:
         onAnswered(std::move(reply));
@@ -279,7 +281,7 @@
 auto CallerEntry::Operation::mayRepeat(RetryBudget& budget) -> bool
 {
     return arrivals_ < route_->maxAttempts_ && deadline_ - bootNow() > leastAttemptTime
-        && entry_.levels_.of(service_, Clock::now()) < overloadLevel && budget.tryTake();
+        && entry_.parts_.directory_.level(service_, Clock::now()) < overloadLevel && budget.tryTake();
 }
 
 auto CallerEntry::Operation::onAnswered(GateReply reply) -> void
@@ -480,13 +482,23 @@
     return *budgets;
 }
 
-auto CallerEntry::takeReply(const std::string& node, const std::string& service, const SiteRoute& route,
-    const GateReply& reply) -> void
+auto CallerEntry::downstreamLevel() const -> ShedLevel
 {
     const auto now = Clock::now();
-    levels_.take(service, node, reply.load_.level_, now);
+    ShedLevel highest = 0;
+    for (const auto& [service, lastCall] : calledServices_) {
+        if (now - lastCall < calledLife) {
+            highest = std::max(highest, parts_.directory_.level(service, now));
+        }
+    }
+    return highest;
+}
+
+auto CallerEntry::takeReply(const std::string& service, const SiteRoute& route, const GateReply& reply)
+    -> void
+{
     if (reply.fromBackend_) {
-        calledLevels_.take(service, node, reply.load_.level_, now);
+        calledServices_[service] = Clock::now();
         callRoutes_.insert(route.name_);
     } else {
         callRoutes_.erase(route.name_);
@@ -496,7 +508,7 @@
 auto CallerEntry::shouldShed(
     const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool
 {
-    const auto level = levels_.of(service, Clock::now());
+    const auto level = parts_.directory_.level(service, Clock::now());
     if (level <= 0 || callRoutes_.count(route.name_) > 0) {
         return false;
     }
@@ -509,7 +521,7 @@
 {
     double wait = 0;
     if (route != nullptr) {
-        const auto level = levels_.of(service, Clock::now());
+        const auto level = parts_.directory_.level(service, Clock::now());
         wait = std::max(level - configuration->ranksBelow(route->rank_), 0.0) / levelFallPerSecond;
     }
     // Spread over time, so that those who are refused together do not come back together.
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -64,10 +64,7 @@
     auto tick() -> void;
 
     /// The level of the services that the backend server of this VM calls.
-    auto downstreamLevel() const -> ShedLevel
-    {
-        return calledLevels_.highest(Clock::now());
-    }
+    auto downstreamLevel() const -> ShedLevel;
 
     /// Returns the log lines dropped since the last call.
     auto takeDroppedLines() -> std::uint64_t
@@ -101,8 +98,7 @@
     };
     auto budgetsOf(const std::string& service) -> Budgets&;
     auto budgetOptions(double part) const -> RetryBudgetOptions;
-    auto takeReply(const std::string& node, const std::string& service, const SiteRoute& route,
-        const GateReply& reply) -> void;
+    auto takeReply(const std::string& service, const SiteRoute& route, const GateReply& reply) -> void;
     auto shouldShed(
         const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool;
     /// Estimates when a refused request would be taken.
@@ -115,8 +111,8 @@
     std::mt19937_64 random_;
     std::map<std::string, std::unique_ptr<Budgets>> budgets_; ///< By service.
     std::set<std::pair<TimePoint, std::shared_ptr<Operation>>> operations_; ///< By deadline.
-    ReportedLevels levels_; ///< Of all services, with those that they call.
-    ReportedLevels calledLevels_; ///< Of the services that the backend server of this VM calls.
+    std::map<std::string, TimePoint>
+        calledServices_; ///< By the backend server of this VM, with the last call.
     std::set<std::string> callRoutes_; ///< Routes that only backend servers use.
     LogBudget log_;
     CallerEntryStats stats_;
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -110,7 +110,7 @@
     Directory directory_ { { "self", "a", "r", 1 } };
     LinkClient links_ { context_,
         { [](const std::string&, std::uint64_t) {}, [](const std::string&, const StateFrame&) {},
-            [](const NodeEntry&) {}, [](const std::string&) {},
+            [](const NodeEntry&) {}, [](const std::string&, const GateLoad&) {}, [](const std::string&) {},
             [](std::uint64_t) {
                 return StateFrame {};
             } } };
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -13,6 +13,13 @@
 /// between zones of a region, and the round trip to another region.
 constexpr double otherZonePenalty = 0.15;
 constexpr double otherRegionPenalty = 0.8;
+/// A node at level 1 refuses a whole rank; it counts as one whose slots are all taken once more.
+constexpr double levelPenalty = 1.0;
+/// A region whose level is lower by less than this is not worth the way for requests that are refused here.
+constexpr double otherRegionLevel = 0.1;
+/// A reported level holds for this time and then falls, so that a node that gets nothing is tried again.
+constexpr Duration levelLife = seconds(1);
+constexpr double levelFallPerSecond = 1.0;
 /// Spreads equal loads over equally good nodes.
 constexpr double jitter = 0.05;
 /// A backend server with this share of failed requests counts as fully loaded twice over.
@@ -93,6 +100,39 @@
     });
 }
 
+auto Directory::isUsable(const Known& known) -> bool
+{
+    return known.entry_.phase_ == BackendPhase::Ready && known.entry_.accepting_;
+}
+
+auto Directory::levelOf(const Known& known, TimePoint now) -> double
+{
+    const std::chrono::duration<double> over = now - known.loadTime_ - levelLife;
+    return std::max(known.load_.level_ - std::max(over.count(), 0.0) * levelFallPerSecond, 0.0);
+}
+
+auto Directory::level(std::string_view service, TimePoint now) const -> double
+{
+    struct Sum {
+        double levels_ = 0;
+        int nodes_ = 0;
+    };
+    std::map<std::string_view, Sum> regions;
+    for (const auto& [name, known] : nodes_) {
+        if (known.entry_.service_ == service && isUsable(known) && !known.unreachable_) {
+            auto& sum = regions[known.entry_.region_];
+            sum.levels_ += levelOf(known, now);
+            ++sum.nodes_;
+        }
+    }
+    std::optional<double> lowest;
+    for (const auto& [region, sum] : regions) {
+        const double mean = sum.levels_ / sum.nodes_ + (region == options_.region_ ? 0 : otherRegionLevel);
+        lowest = std::min(lowest.value_or(mean), mean);
+    }
+    return lowest.value_or(0);
+}
+
 auto Directory::nodeShares() const -> std::map<std::string, double>
 {
     std::map<std::string, double> shares;
@@ -102,7 +142,7 @@
     return shares;
 }
 
-auto Directory::score(const Known& known) -> double
+auto Directory::score(const Known& known, TimePoint now) -> double
 {
     const double capacity
         = std::max(known.entry_.capacity_ > 0 ? known.entry_.capacity_ : assumedCapacity, 1);
@@ -114,7 +154,7 @@
     } else if (known.entry_.zone_ != options_.zone_) {
         score += otherZonePenalty;
     }
-    score += known.failureShare_ * failurePenalty;
+    score += known.failureShare_ * failurePenalty + levelOf(known, now) * levelPenalty;
     return score + std::uniform_real_distribution<>(0, jitter)(random_);
 }
 
@@ -124,12 +164,13 @@
     const Known* best = nullptr;
     double bestScore = 0;
     for (const auto& [name, known] : nodes_) {
-        if (known.entry_.service_ != service || known.entry_.phase_ != BackendPhase::Ready
-            || !known.entry_.accepting_ || std::find(tried.begin(), tried.end(), name) != tried.end()) {
+        if (known.entry_.service_ != service || !isUsable(known)
+            || std::find(tried.begin(), tried.end(), name) != tried.end()) {
             continue;
         }
         constexpr double avoided = 100;
-        const double value = score(known) + (known.unreachable_ || now < known.avoidUntil_ ? avoided : 0);
+        const double value
+            = score(known, now) + (known.unreachable_ || now < known.avoidUntil_ ? avoided : 0);
         if (best == nullptr || value < bestScore) {
             best = &known;
             bestScore = value;
@@ -154,11 +195,12 @@
     }
 }
 
-auto Directory::onLoad(const std::string& node, const GateLoad& load) -> void
+auto Directory::onLoad(const std::string& node, const GateLoad& load, TimePoint now) -> void
 {
     const auto found = nodes_.find(node);
     if (found != nodes_.end()) {
         found->second.load_ = load;
+        found->second.loadTime_ = now;
         found->second.inFlightAtReport_ = found->second.inFlight_;
     }
 }
@@ -193,7 +235,7 @@
 {
     std::vector<NodeEntry> nodes;
     for (const auto& [name, known] : nodes_) {
-        if (known.unreachable_ && known.entry_.accepting_ && known.entry_.phase_ == BackendPhase::Ready) {
+        if (known.unreachable_ && isUsable(known)) {
             nodes.push_back(known.entry_);
         }
     }
--- a/src/libsidecar/directory_test.cpp
+++ b/src/libsidecar/directory_test.cpp
@@ -1,5 +1,6 @@
 #include "wagtailhead/directory.h"
 
+#include <cmath>
 #include <criterion/criterion.h>
 
 using namespace wagtailhead;
@@ -36,10 +37,10 @@
 {
     auto directory = threeNodes();
     cr_assert(directory.pick("stock", {}, start)->node_ == "near");
-    directory.onLoad("near", { .running_ = 5, .queued_ = 0, .limit_ = 10 });
+    directory.onLoad("near", { .running_ = 5, .queued_ = 0, .limit_ = 10 }, start);
     cr_assert(directory.pick("stock", {}, start)->node_ == "region");
-    directory.onLoad("near", { .running_ = 10, .queued_ = 8, .limit_ = 10 });
-    directory.onLoad("region", { .running_ = 10, .queued_ = 8, .limit_ = 10 });
+    directory.onLoad("near", { .running_ = 10, .queued_ = 8, .limit_ = 10 }, start);
+    directory.onLoad("region", { .running_ = 10, .queued_ = 8, .limit_ = 10 }, start);
     cr_assert(directory.pick("stock", {}, start)->node_ == "far");
 }
 
@@ -128,3 +129,18 @@
     cr_assert(directory.pick("stock", {}, start)->node_ == "near");
     cr_assert(directory.unreachable().empty());
 }
+
+Test(directory, the_level_is_that_of_the_region_with_most_room)
+{
+    auto directory = threeNodes();
+    directory.onLoad("near", { .running_ = 9, .queued_ = 0, .limit_ = 10, .level_ = 1.0 }, start);
+    directory.onLoad("region", { .running_ = 9, .queued_ = 0, .limit_ = 10, .level_ = 0.6 }, start);
+    cr_assert(directory.pick("stock", {}, start)->node_ == "far");
+    cr_assert(
+        std::abs(directory.level("stock", start) - 0.1) < 1e-9, "of the other region, and the way there");
+    directory.onLoad("far", { .running_ = 9, .queued_ = 0, .limit_ = 10, .level_ = 2.0 }, start);
+    cr_assert(std::abs(directory.level("stock", start) - 0.8) < 1e-9, "mean of the own region");
+    cr_assert(directory.pick("stock", {}, start)->node_ == "region");
+    cr_assert(directory.level("stock", start + seconds(4)) == 0, "reports are forgotten");
+    cr_assert(directory.level("files", start) == 0);
+}
--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -176,6 +176,8 @@
         owner_.events_.onState_(node_, std::move(*state));
     } else if (const auto* entry = std::get_if<EntryFrame>(&frame)) {
         owner_.events_.onEntry_(entry->entry_);
+    } else if (const auto* load = std::get_if<LoadFrame>(&frame)) {
+        owner_.events_.onLoad_(node_, load->load_);
     } else if (const auto* request = std::get_if<StateRequestFrame>(&frame)) {
         stream_->send(owner_.events_.state_(request->configVersion_));
     }
--- a/src/libsidecar/link_client.h
+++ b/src/libsidecar/link_client.h
@@ -30,6 +30,8 @@
     std::function<void(const std::string& node, StateFrame state)> onState_;
     /// A node has changed its entry.
     std::function<void(const NodeEntry& entry)> onEntry_;
+    /// A node tells the load of its gate.
+    std::function<void(const std::string& node, const GateLoad& load)> onLoad_;
     /// A link is open.
     std::function<void(const std::string& node)> onOpen_;
     /// What this node knows, for a node that asks.
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -206,6 +206,22 @@
     packEntry(packer, frame.entry_);
 }
 
+auto pack(StringStream& stream, const LoadFrame& frame) -> void
+{
+    const auto& load = frame.load_;
+    packAll(stream, typeNumber<LoadFrame>(), load.running_, load.queued_, load.limit_, load.level_);
+}
+
+auto readLoad(ArrayReader& reader) -> GateLoad
+{
+    GateLoad load;
+    load.running_ = reader.next<int>();
+    load.queued_ = reader.next<int>();
+    load.limit_ = reader.next<int>();
+    load.level_ = reader.next<double>();
+    return load;
+}
+
 auto readCall(ArrayReader& reader) -> CallFrame
 {
     CallFrame frame;
@@ -246,10 +262,7 @@
     reply.response_.status_ = reader.next<int>();
     reply.response_.headers_ = HeaderBlock(reader.next<std::string>());
     reply.response_.body_ = reader.next<std::string>();
-    reply.load_.running_ = reader.next<int>();
-    reply.load_.queued_ = reader.next<int>();
-    reply.load_.limit_ = reader.next<int>();
-    reply.load_.level_ = reader.next<double>();
+    reply.load_ = readLoad(reader);
     reply.fromBackend_ = reader.next<bool>();
     return frame;
 }
@@ -303,6 +316,8 @@
         return readState(reader);
     case typeNumber<EntryFrame>():
         return EntryFrame { readEntry(reader.nextArray()) };
+    case typeNumber<LoadFrame>():
+        return LoadFrame { readLoad(reader) };
     default:
         throw msgpack::type_error();
     }
--- a/src/libsidecar/link_frames.h
+++ b/src/libsidecar/link_frames.h
@@ -65,8 +65,13 @@
     NodeEntry entry_;
 };
 
+/// The load of the sender's gate, told without a call while it refuses requests.
+struct LoadFrame {
+    GateLoad load_;
+};
+
 using Frame = std::variant<HelloFrame, CallFrame, ReplyFrame, CancelFrame, FenceFrame, FenceReplyFrame,
-    PingFrame, PongFrame, StateRequestFrame, StateFrame, EntryFrame>;
+    PingFrame, PongFrame, StateRequestFrame, StateFrame, EntryFrame, LoadFrame>;
 
 /// Appends the frame with its length.
 auto appendFrame(std::string& out, const Frame& frame) -> void;
--- a/src/libsidecar/link_server.cpp
+++ b/src/libsidecar/link_server.cpp
@@ -4,6 +4,7 @@
 #include "wagtailhead/log.h"
 
 #include <asio/ip/tcp.hpp>
+#include <cmath>
 #include <limits>
 #include <unordered_set>
 
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr int backlog = 512;
+/// A load is told again after this time as long as requests are refused, and at once after such a step.
+constexpr Duration loadInterval = milliseconds(500);
+constexpr double toldLevelStep = 0.1;
 
 /// One accepted link: the calls of one node.
 class Session : public std::enable_shared_from_this<Session> {
@@ -152,9 +156,13 @@
         }
     }
 
+    auto tick(TimePoint now) -> void override;
+
 private:
     asio::ip::tcp::acceptor acceptor_;
     LinkServerParts parts_;
+    double toldLevel_ = 0;
+    TimePoint toldAt_;
     std::unordered_set<std::shared_ptr<Session>> sessions_;
 };
 
@@ -179,6 +187,21 @@
     return Done {};
 }
 
+auto AsioLinkServer::tick(TimePoint now) -> void
+{
+    const auto load = parts_.gate_.load();
+    const bool changed
+        = std::abs(load.level_ - toldLevel_) >= toldLevelStep || (load.level_ == 0) != (toldLevel_ == 0);
+    if (!changed && (load.level_ == 0 || now - toldAt_ < loadInterval)) {
+        return;
+    }
+    toldLevel_ = load.level_;
+    toldAt_ = now;
+    for (const auto& session : sessions_) {
+        session->send(LoadFrame { load });
+    }
+}
+
 auto AsioLinkServer::accept() -> void
 {
     acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -69,6 +69,7 @@
     std::string state_;
     bool lacksState_ = false;
     std::string learned_;
+    double toldLevel_ = -1;
     LinkClient client_ { context_,
         { [this](const std::string&, std::uint64_t version) {
              version_ = version;
@@ -76,7 +77,11 @@
             [this](const std::string&, const StateFrame& state) {
                 state_ = state.configText_;
             },
-            [](const NodeEntry&) {}, [](const std::string&) {},
+            [](const NodeEntry&) {},
+            [this](const std::string&, const GateLoad& load) {
+                toldLevel_ = load.level_;
+            },
+            [](const std::string&) {},
             [](std::uint64_t) {
                 return StateFrame { "from the caller", {} };
             } } };
@@ -248,3 +253,19 @@
         return world.learned_ == "from the caller";
     }));
 }
+
+Test(link, a_gate_that_refuses_tells_its_load_without_a_call)
+{
+    World world;
+    world.gate_.setDownstreamLevel(1.5);
+    world.client_.connect(world.node_);
+    cr_assert(world.runUntil([&] {
+        world.server_->tick(Clock::now());
+        return world.toldLevel_ == 1.5;
+    }));
+    world.gate_.setDownstreamLevel(0);
+    cr_assert(world.runUntil([&] {
+        world.server_->tick(Clock::now());
+        return world.toldLevel_ == 0;
+    }));
+}
--- a/src/libsidecar/shed_level.cpp
+++ b/src/libsidecar/shed_level.cpp
@@ -19,8 +19,6 @@
 constexpr double fullShare = 0.92;
 /// Three ranks, all refused.
 constexpr ShedLevel highestLevel = 3;
-/// A report older than this says nothing any more.
-constexpr Duration reportLife = seconds(1);
 /// A small share of each rank always passes, so that recovery is noticed.
 constexpr double mostRefused = 0.97;
 
@@ -54,40 +52,6 @@
     windowStart_ = now;
 }
 
-auto ReportedLevels::take(const std::string& service, const std::string& node, ShedLevel level, TimePoint now)
-    -> void
-{
-    services_[service][node] = { level, now };
-}
-
-auto ReportedLevels::mean(const Reports& reports, TimePoint now) -> ShedLevel
-{
-    double sum = 0;
-    int count = 0;
-    for (const auto& [node, report] : reports) {
-        if (now - report.time_ < reportLife) {
-            sum += report.level_;
-            ++count;
-        }
-    }
-    return count > 0 ? sum / count : 0;
-}
-
-auto ReportedLevels::of(const std::string& service, TimePoint now) const -> ShedLevel
-{
-    const auto found = services_.find(service);
-    return found == services_.end() ? 0 : mean(found->second, now);
-}
-
-auto ReportedLevels::highest(TimePoint now) const -> ShedLevel
-{
-    ShedLevel level = 0;
-    for (const auto& [service, reports] : services_) {
-        level = std::max(level, mean(reports, now));
-    }
-    return level;
-}
-
 auto refusedShare(ShedLevel level, int place) -> double
 {
     return std::clamp(level - place, 0.0, mostRefused);
--- a/src/libsidecar/shed_level.h
+++ b/src/libsidecar/shed_level.h
@@ -3,9 +3,6 @@
 
 #include "wagtailhead/clock.h"
 
-#include <map>
-#include <string>
-
 namespace wagtailhead {
 
 /// A level counts ranks from the least important one: 0.3 refuses 30% of the least important requests,
@@ -45,29 +42,6 @@
     TimePoint windowStart_;
 };
 
-/// The levels that other services have reported, each forgotten some time after its last report.
-class ReportedLevels {
-public:
-    auto take(const std::string& service, const std::string& node, ShedLevel level, TimePoint now) -> void;
-
-    /// Returns the mean level of the nodes of a service.
-    auto of(const std::string& service, TimePoint now) const -> ShedLevel;
-
-    /// Returns the greatest mean level of all services.
-    auto highest(TimePoint now) const -> ShedLevel;
-
-private:
-    struct Report {
-        ShedLevel level_ = 0;
-        TimePoint time_;
-    };
-    using Reports = std::map<std::string, Report>; ///< By node.
-
-    static auto mean(const Reports& reports, TimePoint now) -> ShedLevel;
-
-    std::map<std::string, Reports> services_;
-};
-
 /// Returns the share of requests to refuse: `place` counts the ranks in use from the least important one.
 auto refusedShare(ShedLevel level, int place) -> double;
 
--- a/src/libsidecar/shed_level_test.cpp
+++ b/src/libsidecar/shed_level_test.cpp
@@ -57,18 +57,6 @@
     cr_assert(refusedShare(1.5, 1) == 0.5);
 }
 
-Test(shed_level, reports_are_means_and_are_forgotten)
-{
-    ReportedLevels levels;
-    levels.take("stock", "n1", 1.0, start);
-    levels.take("stock", "n2", 0.0, start);
-    levels.take("files", "n3", 0.2, start);
-    cr_assert(levels.of("stock", start) == 0.5);
-    cr_assert(levels.highest(start) == 0.5);
-    cr_assert(levels.of("stock", start + seconds(2)) == 0);
-    cr_assert(levels.of("orders", start) == 0);
-}
-
 Test(route_origins, a_route_that_some_services_never_use_is_a_call)
 {
     RouteOrigins origins;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -136,6 +136,9 @@
               [this](const NodeEntry& entry) {
                   learnEntry(entry);
               },
+              [this](const std::string& node, const GateLoad& load) {
+                  directory_.onLoad(node, load, Clock::now());
+              },
               [this](const std::string& node) {
                   directory_.onReachable(node);
               },
@@ -580,6 +583,7 @@
         gate_.tick();
         backendPool_->tick(now);
         links_.tick(now);
+        linkServer_->tick(now);
         callers_->tick(now);
         readiness_->tick(now);
         reportServer_->tick(now);
