feat(sidecar): levels that settle: exact use of slots, passed on at once, faded by age

A change took about a second for its way through three services, each hop waiting for two ticks, while the level went on rising. Change: a level is passed on 15 ms after it has come; it carries the time since it was measured and fades with it, so that circles die out; own and called levels are told apart; a service takes no level from itself. The level follows queued requests and the exact use of the slots in steps of 100 ms. Origins of a route are judged among the nodes that send requests to the gate, and three judgements have to agree. Load counts with its fourth power, so that requests stay in their zone until it is nearly full; the directory finds the nodes of a service by index.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -5,6 +5,7 @@
 #include "wagtailhead/settings.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -42,12 +43,20 @@
     auto operator==(const NodeEntry&) const -> bool = default;
 };
 
+/// A level and the time since the gate that refuses requests has measured it. The age goes along from node
+/// to node, so that a level that services report to each other in a circle fades.
+struct ReportedLevel {
+    double level_ = 0;
+    Duration age_ {};
+};
+
 /// The load of a backend server as its node measures it.
 struct GateLoad {
     int running_ = 0;
     int queued_ = 0;
     int limit_ = 0;
-    double level_ = 0; ///< How much less important work to refuse (see ShedLevel).
+    double level_ = 0; ///< How much less important work to refuse for this backend server (see ShedLevel).
+    ReportedLevel called_ {}; ///< The same for the services that it calls.
 };
 
 struct DirectoryOptions {
@@ -81,11 +90,15 @@
         -> std::optional<NodeEntry>;
 
     /// Returns the level of a service as it counts here: the lowest mean level of a region's nodes, since
-    /// requests go to another region before they are refused.
-    auto level(std::string_view service, TimePoint now) const -> double;
+    /// requests go to another region before they are refused. The age is the mean over the nodes that
+    /// refuse requests.
+    auto level(std::string_view service, TimePoint now) const -> ReportedLevel;
 
-    /// Returns the share of the nodes that each service has.
-    auto nodeShares() const -> std::map<std::string, double>;
+    /// Runs `handler` whenever a node reports a level that differs by a step from its last one.
+    auto onLevelStep(std::function<void()> handler) -> void
+    {
+        onLevelStep_ = std::move(handler);
+    }
 
     /// Counts a request that is sent to a node and, with `ended`, one that has ended there.
     auto started(const std::string& node) -> void;
@@ -117,11 +130,15 @@
     };
 
     static auto isUsable(const Known& known) -> bool;
-    static auto levelOf(const Known& known, TimePoint now) -> double;
+    static auto levelOf(const Known& known, TimePoint now) -> ReportedLevel;
+    auto nodesOf(std::string_view service) const -> const std::vector<Known*>&;
+    auto indexServices() -> void;
     auto score(const Known& known, TimePoint now) -> double;
 
     DirectoryOptions options_;
     std::map<std::string, Known> nodes_;
+    std::map<std::string, std::vector<Known*>, std::less<>> byService_;
+    std::function<void()> onLevelStep_;
     std::mt19937_64 random_;
 };
 
--- a/src/libsidecar/caller_entry.cpp
+++ b/src/libsidecar/caller_entry.cpp
@@ -163,6 +163,7 @@
     call.route_ = route_->name_;
     call.service_ = service_;
     call.callerService_ = entry_.options_.service_;
+    call.callerNode_ = entry_.options_.node_;
     call.method_ = request_.method_;
     call.target_ = request_.target_;
     call.headers_ = request_.headers_;
@@ -281,7 +282,7 @@
 auto CallerEntry::Operation::mayRepeat(RetryBudget& budget) -> bool
 {
     return arrivals_ < route_->maxAttempts_ && deadline_ - bootNow() > leastAttemptTime
-        && entry_.parts_.directory_.level(service_, Clock::now()) < overloadLevel && budget.tryTake();
+        && entry_.parts_.directory_.level(service_, Clock::now()).level_ < overloadLevel && budget.tryTake();
 }
 
 auto CallerEntry::Operation::onAnswered(GateReply reply) -> void
@@ -482,13 +483,14 @@
     return *budgets;
 }
 
-auto CallerEntry::downstreamLevel() const -> ShedLevel
+auto CallerEntry::calledLevel() const -> ReportedLevel
 {
     const auto now = Clock::now();
-    ShedLevel highest = 0;
+    ReportedLevel highest;
     for (const auto& [service, lastCall] : calledServices_) {
-        if (now - lastCall < calledLife) {
-            highest = std::max(highest, parts_.directory_.level(service, now));
+        if (now - lastCall < calledLife && service != options_.service_) {
+            const auto level = parts_.directory_.level(service, now);
+            highest = level.level_ > highest.level_ ? level : highest;
         }
     }
     return highest;
@@ -508,7 +510,7 @@
 auto CallerEntry::shouldShed(
     const SiteConfiguration& configuration, const SiteRoute& route, const std::string& service) -> bool
 {
-    const auto level = parts_.directory_.level(service, Clock::now());
+    const auto level = parts_.directory_.level(service, Clock::now()).level_;
     if (level <= 0 || callRoutes_.count(route.name_) > 0) {
         return false;
     }
@@ -521,7 +523,7 @@
 {
     double wait = 0;
     if (route != nullptr) {
-        const auto level = parts_.directory_.level(service, Clock::now());
+        const auto level = parts_.directory_.level(service, Clock::now()).level_;
         wait = std::max(level - configuration->ranksBelow(route->rank_), 0.0) / levelFallPerSecond;
     }
     // Spread over time, so that those who are refused together do not come back together.
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -64,7 +64,7 @@
     auto tick() -> void;
 
     /// The level of the services that the backend server of this VM calls.
-    auto downstreamLevel() const -> ShedLevel;
+    auto calledLevel() const -> ReportedLevel;
 
     /// Returns the log lines dropped since the last call.
     auto takeDroppedLines() -> std::uint64_t
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -11,15 +11,15 @@
 
 /// Added to the load share of nodes outside the own zone: the load difference that is worth the bytes
 /// between zones of a region, and the round trip to another region.
-constexpr double otherZonePenalty = 0.15;
-constexpr double otherRegionPenalty = 0.8;
+constexpr double otherZonePenalty = 0.3;
+constexpr double otherRegionPenalty = 1.3;
 /// A node at level 1 refuses a whole rank; it counts as one whose slots are all taken once more.
 constexpr double levelPenalty = 1.0;
-/// A region whose level is lower by less than this is not worth the way for requests that are refused here.
-constexpr double otherRegionLevel = 0.1;
 /// A reported level holds for this time and then falls, so that a node that gets nothing is tried again.
-constexpr Duration levelLife = seconds(1);
+constexpr Duration levelLife = seconds(2);
 constexpr double levelFallPerSecond = 1.0;
+/// A change of a reported level by this much is passed on at once.
+constexpr double levelStep = 0.05;
 /// Spreads equal loads over equally good nodes.
 constexpr double jitter = 0.05;
 /// A backend server with this share of failed requests counts as fully loaded twice over.
@@ -31,6 +31,13 @@
 /// The capacity that is assumed until a report names it.
 constexpr int assumedCapacity = 50;
 
+/// Returns a level of this age as it still counts.
+auto faded(double level, Duration age) -> double
+{
+    const std::chrono::duration<double> over = age - levelLife;
+    return std::max(level - std::max(over.count(), 0.0) * levelFallPerSecond, 0.0);
+}
+
 } // namespace
 
 auto backendPhaseName(BackendPhase phase) -> const char*
@@ -60,7 +67,11 @@
     if (known.entry_.node_.empty() || entry.generation_ > known.entry_.generation_) {
         const bool newBackend = known.entry_.backendId_ != entry.backendId_
             || known.entry_.backendBornMs_ != entry.backendBornMs_;
+        const bool moved = known.entry_.service_ != entry.service_ || known.entry_.node_.empty();
         known.entry_ = entry;
+        if (moved) {
+            indexServices();
+        }
         if (newBackend) {
             known.failures_ = 0;
             known.failureShare_ = 0;
@@ -75,6 +86,22 @@
 auto Directory::remove(const std::string& node) -> void
 {
     nodes_.erase(node);
+    indexServices();
+}
+
+auto Directory::indexServices() -> void
+{
+    byService_.clear();
+    for (auto& [name, known] : nodes_) {
+        byService_[known.entry_.service_].push_back(&known);
+    }
+}
+
+auto Directory::nodesOf(std::string_view service) const -> const std::vector<Known*>&
+{
+    static const std::vector<Known*> none;
+    const auto found = byService_.find(service);
+    return found == byService_.end() ? none : found->second;
 }
 
 auto Directory::find(const std::string& node) const -> const NodeEntry*
@@ -95,9 +122,7 @@
 
 auto Directory::serves(std::string_view service) const -> bool
 {
-    return std::any_of(nodes_.begin(), nodes_.end(), [&](const auto& item) {
-        return item.second.entry_.service_ == service;
-    });
+    return !nodesOf(service).empty();
 }
 
 auto Directory::isUsable(const Known& known) -> bool
@@ -105,41 +130,41 @@
     return known.entry_.phase_ == BackendPhase::Ready && known.entry_.accepting_;
 }
 
-auto Directory::levelOf(const Known& known, TimePoint now) -> double
+auto Directory::levelOf(const Known& known, TimePoint now) -> ReportedLevel
 {
-    const std::chrono::duration<double> over = now - known.loadTime_ - levelLife;
-    return std::max(known.load_.level_ - std::max(over.count(), 0.0) * levelFallPerSecond, 0.0);
+    const auto since = now - known.loadTime_;
+    const ReportedLevel own { faded(known.load_.level_, since), since };
+    const auto calledAge = known.load_.called_.age_ + since;
+    const ReportedLevel called { faded(known.load_.called_.level_, calledAge), calledAge };
+    return own.level_ >= called.level_ ? own : called;
 }
 
-auto Directory::level(std::string_view service, TimePoint now) const -> double
+auto Directory::level(std::string_view service, TimePoint now) const -> ReportedLevel
 {
     struct Sum {
         double levels_ = 0;
+        Duration weightedAges_ {};
         int nodes_ = 0;
     };
     std::map<std::string_view, Sum> regions;
-    for (const auto& [name, known] : nodes_) {
-        if (known.entry_.service_ == service && isUsable(known) && !known.unreachable_) {
-            auto& sum = regions[known.entry_.region_];
-            sum.levels_ += levelOf(known, now);
+    for (const auto* known : nodesOf(service)) {
+        if (isUsable(*known) && !known->unreachable_) {
+            auto& sum = regions[known->entry_.region_];
+            const auto level = levelOf(*known, now);
+            sum.levels_ += level.level_;
+            sum.weightedAges_ += std::chrono::duration_cast<Duration>(level.age_ * level.level_);
             ++sum.nodes_;
         }
     }
-    std::optional<double> lowest;
+    std::optional<ReportedLevel> lowest;
     for (const auto& [region, sum] : regions) {
-        const double mean = sum.levels_ / sum.nodes_ + (region == options_.region_ ? 0 : otherRegionLevel);
-        lowest = std::min(lowest.value_or(mean), mean);
-    }
-    return lowest.value_or(0);
-}
-
-auto Directory::nodeShares() const -> std::map<std::string, double>
-{
-    std::map<std::string, double> shares;
-    for (const auto& [name, known] : nodes_) {
-        shares[known.entry_.service_] += 1.0 / static_cast<double>(nodes_.size());
+        const double mean = sum.levels_ / sum.nodes_;
+        if (!lowest || mean < lowest->level_) {
+            const auto age = sum.levels_ > 0 ? sum.weightedAges_ / sum.levels_ : Duration::zero();
+            lowest = { mean, std::chrono::duration_cast<Duration>(age) };
+        }
     }
-    return shares;
+    return lowest.value_or(ReportedLevel {});
 }
 
 auto Directory::score(const Known& known, TimePoint now) -> double
@@ -148,13 +173,14 @@
         = std::max(known.entry_.capacity_ > 0 ? known.entry_.capacity_ : assumedCapacity, 1);
     const int sinceReport = known.inFlight_ - known.inFlightAtReport_;
     const int load = std::max(known.load_.running_ + known.load_.queued_ + sinceReport, known.inFlight_);
-    double score = load / capacity;
+    const double used = load / capacity;
+    double score = used * used * used * used;
     if (known.entry_.region_ != options_.region_) {
         score += otherRegionPenalty;
     } else if (known.entry_.zone_ != options_.zone_) {
         score += otherZonePenalty;
     }
-    score += known.failureShare_ * failurePenalty + levelOf(known, now) * levelPenalty;
+    score += known.failureShare_ * failurePenalty + levelOf(known, now).level_ * levelPenalty;
     return score + std::uniform_real_distribution<>(0, jitter)(random_);
 }
 
@@ -163,16 +189,15 @@
 {
     const Known* best = nullptr;
     double bestScore = 0;
-    for (const auto& [name, known] : nodes_) {
-        if (known.entry_.service_ != service || !isUsable(known)
-            || std::find(tried.begin(), tried.end(), name) != tried.end()) {
+    for (const auto* known : nodesOf(service)) {
+        if (!isUsable(*known) || std::find(tried.begin(), tried.end(), known->entry_.node_) != tried.end()) {
             continue;
         }
         constexpr double avoided = 100;
         const double value
-            = score(known, now) + (known.unreachable_ || now < known.avoidUntil_ ? avoided : 0);
+            = score(*known, now) + (known->unreachable_ || now < known->avoidUntil_ ? avoided : 0);
         if (best == nullptr || value < bestScore) {
-            best = &known;
+            best = known;
             bestScore = value;
         }
     }
@@ -199,9 +224,15 @@
 {
     const auto found = nodes_.find(node);
     if (found != nodes_.end()) {
-        found->second.load_ = load;
-        found->second.loadTime_ = now;
-        found->second.inFlightAtReport_ = found->second.inFlight_;
+        auto& known = found->second;
+        const double before = std::max(known.load_.level_, known.load_.called_.level_);
+        const double after = std::max(load.level_, load.called_.level_);
+        known.load_ = load;
+        known.loadTime_ = now;
+        known.inFlightAtReport_ = known.inFlight_;
+        if (onLevelStep_ && (std::abs(after - before) >= levelStep || (after > 0) != (before > 0))) {
+            onLevelStep_();
+        }
     }
 }
 
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -121,7 +121,7 @@
 
 auto Gate::submit(GateCall call, GateCallback callback) -> TicketId
 {
-    origins_.count(call.route_, call.callerService_);
+    origins_.count(call.route_, call.callerService_, call.callerNode_, bootNow());
     level_.onArrival();
     const bool fromBackend = origins_.isCall(call.route_);
     auto refusal = refusalFor(call);
@@ -210,6 +210,15 @@
     finish(ticket, notRun(reason));
 }
 
+auto Gate::changeRunning(int change) -> void
+{
+    const auto now = bootNow();
+    const std::chrono::duration<double> span = now - runningSince_;
+    busySeconds_ += running_ * span.count();
+    runningSince_ = now;
+    running_ += change;
+}
+
 auto Gate::backendRequest(const GateCall& call) const -> http1::Request
 {
     http1::Request request;
@@ -229,8 +238,7 @@
     auto& call = ticket->call_;
     ticket->running_ = true;
     ticket->sent_ = bootNow();
-    level_.onStarted(ticket->sent_ - ticket->arrived_);
-    ++running_;
+    changeRunning(1);
     if (!call.idempotent_) {
         records_[call.attemptId_].record_ = Record::Passed;
     }
@@ -250,7 +258,7 @@
 
 auto Gate::onResult(const TicketPtr& ticket, http1::CallResult result) -> void
 {
-    --running_;
+    changeRunning(-1);
     auto reply = replyFor(*ticket, std::move(result));
     if (reply.outcome_ == GateOutcome::NotRun) {
         records_.erase(ticket->call_.attemptId_);
@@ -342,7 +350,7 @@
     }
     if (ticket->call_.idempotent_) {
         pool_->cancel(ticket->poolCall_);
-        --running_;
+        changeRunning(-1);
         tickets_.erase(id);
         startWaiting();
     }
@@ -393,9 +401,9 @@
     startWaiting();
 }
 
-auto Gate::judgeOrigins(const std::map<std::string, double>& nodeShares) -> void
+auto Gate::judgeOrigins() -> void
 {
-    origins_.judge(nodeShares);
+    origins_.judge(bootNow());
 }
 
 auto Gate::tick() -> void
@@ -417,7 +425,13 @@
         dropWaiting(ticket, reason);
     }
     startWaiting();
-    level_.update(static_cast<double>(running_) / limit(), now);
+    changeRunning(0);
+    const double slots = limit();
+    const std::chrono::duration<double> span = now - busySince_;
+    const double used = span.count() > 0 ? busySeconds_ / span.count() / slots : 0;
+    level_.update(used, waiting_ / slots, now);
+    busySeconds_ = 0;
+    busySince_ = now;
     if (now >= nextRecordSweep_) {
         nextRecordSweep_ = now + recordSweepInterval;
         expireRecords(now);
@@ -433,7 +447,8 @@
 
 auto Gate::load() const -> GateLoad
 {
-    return { running_, waiting_, limit(), std::max(level_.level(), downstreamLevel_) };
+    const ReportedLevel called { calledLevel_.level_, calledLevel_.age_ + (bootNow() - calledLevelSet_) };
+    return { running_, waiting_, limit(), level_.level(), called };
 }
 
 } // namespace wagtailhead
--- a/src/libsidecar/gate.h
+++ b/src/libsidecar/gate.h
@@ -70,11 +70,12 @@
     auto stopAdmitting() -> void;
 
     /// Judges which routes only backend servers use; see RouteOrigins. Call it every second.
-    auto judgeOrigins(const std::map<std::string, double>& nodeShares) -> void;
+    auto judgeOrigins() -> void;
     /// The level of the services that this backend server calls.
-    auto setDownstreamLevel(ShedLevel level) -> void
+    auto setCalledLevel(ReportedLevel level) -> void
     {
-        downstreamLevel_ = level;
+        calledLevel_ = level;
+        calledLevelSet_ = bootNow();
     }
 
     /// Drops what has waited too long. Call it every 100 ms or so.
@@ -122,6 +123,7 @@
     auto firstWaiting() const -> TicketPtr;
     auto startWaiting() -> void;
     auto start(const TicketPtr& ticket) -> void;
+    auto changeRunning(int change) -> void;
     auto backendRequest(const GateCall& call) const -> http1::Request;
     auto onResult(const TicketPtr& ticket, http1::CallResult result) -> void;
     auto replyFor(const Ticket& ticket, http1::CallResult result) -> GateReply;
@@ -140,6 +142,9 @@
     std::unordered_map<std::string, AttemptRecord> records_;
     TicketId lastId_ = 0;
     int running_ = 0;
+    TimePoint runningSince_ = bootNow(); ///< When running_ changed last.
+    double busySeconds_ = 0; ///< Slots times seconds in use since busySince_.
+    TimePoint busySince_ = bootNow();
     int waiting_ = 0;
     std::size_t maxConnections_ = 0;
     Duration meanServiceTime_ = milliseconds(30);
@@ -147,7 +152,8 @@
     TimePoint nextRecordSweep_;
     RouteOrigins origins_;
     LevelController level_;
-    ShedLevel downstreamLevel_ = 0;
+    ReportedLevel calledLevel_;
+    TimePoint calledLevelSet_;
     bool stopping_ = false;
     GateStats stats_;
 };
--- a/src/libsidecar/gate_types.h
+++ b/src/libsidecar/gate_types.h
@@ -17,6 +17,7 @@
     std::string route_; ///< Name of the route that sent it here.
     std::string service_;
     std::string callerService_; ///< Service of the VM where the request began.
+    std::string callerNode_; ///< The node of that VM; links carry it once.
     std::string method_;
     std::string target_;
     HeaderBlock headers_; ///< Without hop-by-hop fields.
--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -110,6 +110,7 @@
 auto LinkClient::Link::onConnected(asio::ip::tcp::socket socket) -> void
 {
     stream_ = std::make_shared<FrameStream>(std::move(socket));
+    stream_->send(owner_.events_.hello_());
     const std::weak_ptr<Link> weak = weak_from_this();
     stream_->start({ [weak](Frame frame) {
                         if (const auto self = weak.lock()) {
--- a/src/libsidecar/link_client.h
+++ b/src/libsidecar/link_client.h
@@ -25,6 +25,8 @@
 };
 
 struct LinkEvents {
+    /// What this node says of itself when a link opens.
+    std::function<HelloFrame()> hello_;
     /// A node says that it has this version of the configuration.
     std::function<void(const std::string& node, std::uint64_t version)> onConfigVersion_;
     std::function<void(const std::string& node, StateFrame state)> onState_;
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -87,6 +87,11 @@
     return std::chrono::duration_cast<microseconds>(duration).count();
 }
 
+auto millisecondsOf(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
 template <typename Stream> auto packEntry(msgpack::packer<Stream>& packer, const NodeEntry& entry) -> void
 {
     constexpr std::uint32_t fieldCount = 12;
@@ -152,7 +157,7 @@
         static_cast<int>(reply.outcome_), static_cast<int>(reply.reason_), reply.arrived_,
         reply.response_.status_, reply.response_.headers_.lines(), reply.response_.body_,
         reply.load_.running_, reply.load_.queued_, reply.load_.limit_, reply.load_.level_,
-        reply.fromBackend_);
+        reply.load_.called_.level_, millisecondsOf(reply.load_.called_.age_), reply.fromBackend_);
 }
 
 auto pack(StringStream& stream, const CancelFrame& frame) -> void
@@ -209,7 +214,8 @@
 auto pack(StringStream& stream, const LoadFrame& frame) -> void
 {
     const auto& load = frame.load_;
-    packAll(stream, typeNumber<LoadFrame>(), load.running_, load.queued_, load.limit_, load.level_);
+    packAll(stream, typeNumber<LoadFrame>(), load.running_, load.queued_, load.limit_, load.level_,
+        load.called_.level_, millisecondsOf(load.called_.age_));
 }
 
 auto readLoad(ArrayReader& reader) -> GateLoad
@@ -219,6 +225,8 @@
     load.queued_ = reader.next<int>();
     load.limit_ = reader.next<int>();
     load.level_ = reader.next<double>();
+    load.called_.level_ = reader.next<double>();
+    load.called_.age_ = milliseconds(reader.next<std::int64_t>());
     return load;
 }
 
--- a/src/libsidecar/link_frames.h
+++ b/src/libsidecar/link_frames.h
@@ -12,7 +12,7 @@
 
 namespace wagtailhead {
 
-/// First frame of the accepting side.
+/// First frame of either side.
 struct HelloFrame {
     std::string node_;
     std::uint64_t incarnation_ = 0; ///< Of the node's process.
--- a/src/libsidecar/link_server.cpp
+++ b/src/libsidecar/link_server.cpp
@@ -15,7 +15,12 @@
 constexpr int backlog = 512;
 /// A load is told again after this time as long as requests are refused, and at once after such a step.
 constexpr Duration loadInterval = milliseconds(500);
-constexpr double toldLevelStep = 0.1;
+constexpr double toldLevelStep = 0.05;
+
+auto differs(double level, double told) -> bool
+{
+    return std::abs(level - told) >= toldLevelStep || (level > 0) != (told > 0);
+}
 
 /// One accepted link: the calls of one node.
 class Session : public std::enable_shared_from_this<Session> {
@@ -44,6 +49,7 @@
     std::shared_ptr<FrameStream> stream_;
     const LinkServerParts& parts_;
     std::unordered_set<std::shared_ptr<Session>>& all_;
+    std::string callerNode_;
     std::unordered_map<std::uint64_t, Gate::TicketId> tickets_; ///< By call id of the sender.
     /// The smallest difference between this node's and the sender's clock on arrival: a frame whose
     /// difference is greater by some time has waited for it on the way.
@@ -73,6 +79,8 @@
 {
     if (auto* call = std::get_if<CallFrame>(&frame)) {
         onCall(std::move(*call));
+    } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
+        callerNode_ = hello->node_;
     } else if (const auto* cancel = std::get_if<CancelFrame>(&frame)) {
         const auto found = tickets_.find(cancel->id_);
         if (found != tickets_.end()) {
@@ -105,6 +113,7 @@
 auto Session::onCall(CallFrame frame) -> void
 {
     frame.call_.deadline_ = deadlineOf(frame);
+    frame.call_.callerNode_ = callerNode_;
     const auto id = frame.id_;
     auto answered = std::make_shared<bool>(false);
     const auto ticket = parts_.gate_.submit(
@@ -161,7 +170,7 @@
 private:
     asio::ip::tcp::acceptor acceptor_;
     LinkServerParts parts_;
-    double toldLevel_ = 0;
+    GateLoad told_;
     TimePoint toldAt_;
     std::unordered_set<std::shared_ptr<Session>> sessions_;
 };
@@ -191,11 +200,12 @@
 {
     const auto load = parts_.gate_.load();
     const bool changed
-        = std::abs(load.level_ - toldLevel_) >= toldLevelStep || (load.level_ == 0) != (toldLevel_ == 0);
-    if (!changed && (load.level_ == 0 || now - toldAt_ < loadInterval)) {
+        = differs(load.level_, told_.level_) || differs(load.called_.level_, told_.called_.level_);
+    const bool refuses = load.level_ > 0 || load.called_.level_ > 0;
+    if (!changed && (!refuses || now - toldAt_ < loadInterval)) {
         return;
     }
-    toldLevel_ = load.level_;
+    told_ = load;
     toldAt_ = now;
     for (const auto& session : sessions_) {
         session->send(LoadFrame { load });
--- a/src/libsidecar/link_server.h
+++ b/src/libsidecar/link_server.h
@@ -33,7 +33,8 @@
     /// Tells all nodes that call this one about a changed entry.
     virtual auto announce(const NodeEntry& entry) -> void = 0;
 
-    /// Tells all nodes that call this one about its load while it refuses requests. Call it every 100 ms.
+    /// Tells all nodes that call this one about its load while it refuses requests. Call it every 100 ms,
+    /// and when a level has changed.
     virtual auto tick(TimePoint now) -> void = 0;
 };
 
--- a/src/libsidecar/route_origins.h
+++ b/src/libsidecar/route_origins.h
@@ -3,21 +3,23 @@
 
 #include "wagtailhead/clock.h"
 
-#include <functional>
 #include <map>
 #include <string>
 
 namespace wagtailhead {
 
 /// Callers sit on the VMs of every service. A route whose requests only begin beside some of the services
-/// is one that the backend servers of these services call. Not thread safe.
+/// is one that the backend servers of these services call. Only VMs that send anything here are taken into
+/// account, since nodes prefer gates of their own zone. Not thread safe.
 class RouteOrigins {
 public:
-    /// Counts a request on `route` that began on a VM of `callerService`.
-    auto count(const std::string& route, const std::string& callerService) -> void;
+    /// Counts a request on `route` that began on the VM of `callerNode`, which has a backend server of
+    /// `callerService`.
+    auto count(const std::string& route, const std::string& callerService, const std::string& callerNode,
+        TimePoint now) -> void;
 
-    /// Judges all routes anew. `nodeShares` holds the share of the site's nodes by service.
-    auto judge(const std::map<std::string, double>& nodeShares) -> void;
+    /// Judges all routes anew. Call it every second.
+    auto judge(TimePoint now) -> void;
 
     /// Returns whether only backend servers call the route, as last judged.
     auto isCall(const std::string& route) const -> bool;
@@ -26,9 +28,13 @@
     struct Counts {
         std::map<std::string, double> byService_;
         double total_ = 0;
-        bool call_ = false;
+        int missing_ = 0; ///< Judgements in a row that found a service without requests.
     };
+    auto nodeShares(TimePoint now) -> std::map<std::string, double>;
+
     std::map<std::string, Counts> routes_;
+    /// By service: the nodes that send requests, with the time of the last one.
+    std::map<std::string, std::map<std::string, TimePoint>> nodes_;
 };
 
 } // namespace wagtailhead
--- a/src/libsidecar/shed_level.cpp
+++ b/src/libsidecar/shed_level.cpp
@@ -6,17 +6,21 @@
 
 namespace {
 
-/// What callers' nodes refuse after a step shows here within this time.
-constexpr Duration window = milliseconds(250);
-/// A mean wait above this shows more demand than slots.
-constexpr Duration longWait = milliseconds(12);
-/// Steps of one window, in ranks.
-constexpr double leastRise = 0.03;
-constexpr double risePerRefusedShare = 0.6;
-constexpr double mostRise = 0.3;
-constexpr double fallPerFreeShare = 0.4;
+/// Steps of a second for each unit of excess demand, in ranks.
+constexpr double gain = 1.0;
+/// The share of a change of the excess that the level follows at once.
+constexpr double lead = 0.1;
+/// Waiting requests for each slot that are no excess: arrivals are uneven.
+constexpr double usualQueue = 0.25;
+/// What a refused share of the arrivals counts against queued requests for each slot.
+constexpr double refusedWeight = 2;
+constexpr double mostExcess = 1.2;
+/// What a free share of the slots counts against queued requests for each slot.
+constexpr double freeWeight = 3;
 /// With this share of the slots in use the level stays.
 constexpr double fullShare = 0.92;
+/// A process that was held up does not make up for it in one step.
+constexpr Duration longestStep = milliseconds(250);
 /// Three ranks, all refused.
 constexpr ShedLevel highestLevel = 3;
 /// A small share of each rank always passes, so that recovery is noticed.
@@ -24,32 +28,22 @@
 
 } // namespace
 
-auto LevelController::onStarted(Duration waited) -> void
+auto LevelController::excess(double usedShare, double queuedShare) const -> double
 {
-    ++started_;
-    waited_ += waited;
+    const double refused = arrivals_ > 0 ? static_cast<double>(refused_) / arrivals_ : 0;
+    const double waiting = std::max(queuedShare - usualQueue, 0.0) + refused * refusedWeight;
+    return waiting > 0 ? std::min(waiting, mostExcess) : freeWeight * std::min(usedShare - fullShare, 0.0);
 }
 
-auto LevelController::update(double usedShare, TimePoint now) -> void
+auto LevelController::update(double usedShare, double queuedShare, TimePoint now) -> void
 {
-    usedSum_ += usedShare;
-    ++usedCount_;
-    if (now - windowStart_ < window) {
-        return;
-    }
-    const double used = usedSum_ / usedCount_;
-    const double refused = arrivals_ > 0 ? static_cast<double>(refused_) / arrivals_ : 0;
-    const auto meanWait = started_ > 0 ? waited_ / started_ : Duration::zero();
-    if (refused_ > 0 || meanWait > longWait) {
-        level_ += std::min(leastRise + refused * risePerRefusedShare, mostRise);
-    } else if (used < fullShare) {
-        level_ -= fallPerFreeShare * (fullShare - used);
-    }
+    const std::chrono::duration<double> passed = std::min<Duration>(now - lastUpdate_, longestStep);
+    lastUpdate_ = now;
+    const double current = excess(usedShare, queuedShare);
+    level_ += gain * current * passed.count() + lead * (current - lastExcess_);
     level_ = std::clamp(level_, 0.0, highestLevel);
-    arrivals_ = refused_ = started_ = usedCount_ = 0;
-    waited_ = {};
-    usedSum_ = 0;
-    windowStart_ = now;
+    lastExcess_ = current;
+    arrivals_ = refused_ = 0;
 }
 
 auto refusedShare(ShedLevel level, int place) -> double
--- a/src/libsidecar/shed_level.h
+++ b/src/libsidecar/shed_level.h
@@ -21,10 +21,10 @@
     {
         ++refused_;
     }
-    auto onStarted(Duration waited) -> void;
 
-    /// Ends a window of observation if it is long enough. `usedShare` is the share of the slots in use.
-    auto update(double usedShare, TimePoint now) -> void;
+    /// Moves the level by what has happened since the last update. `usedShare` is the mean share of the
+    /// slots in use since then, `queuedShare` the number of waiting requests for each slot now.
+    auto update(double usedShare, double queuedShare, TimePoint now) -> void;
 
     auto level() const -> ShedLevel
     {
@@ -32,14 +32,14 @@
     }
 
 private:
+    /// Returns by how much the demand is above (or below) what the slots can do.
+    auto excess(double usedShare, double queuedShare) const -> double;
+
     ShedLevel level_ = 0;
+    double lastExcess_ = 0;
     int arrivals_ = 0;
     int refused_ = 0;
-    int started_ = 0;
-    Duration waited_ {};
-    double usedSum_ = 0;
-    int usedCount_ = 0;
-    TimePoint windowStart_;
+    TimePoint lastUpdate_;
 };
 
 /// Returns the share of requests to refuse: `place` counts the ranks in use from the least important one.
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -21,6 +21,8 @@
 constexpr Duration tickInterval = milliseconds(50);
 /// The slower checks run on each n-th tick.
 constexpr int slowTicks = 2;
+/// Levels that come in within this time are passed on together.
+constexpr Duration spreadDelay = milliseconds(15);
 /// The routes that only backend servers use are judged, and the load is logged, on each n-th tick.
 constexpr int judgeTicks = 20;
 /// A node behind in configuration asks a peer at most this often.
@@ -80,6 +82,8 @@
     auto beginStop() -> void;
     auto checkStopped() -> void;
     auto tick() -> void;
+    auto spreadLevels() -> void;
+    auto spreadLevelsSoon() -> void;
     auto logLoad() -> void;
     auto publishMetrics() -> void;
 
@@ -90,6 +94,7 @@
     asio::io_context context_ { 1 };
     asio::signal_set signals_;
     asio::steady_timer timer_;
+    asio::steady_timer spreadTimer_;
     Directory directory_;
     BackendReports reports_;
     NodeEntry own_;
@@ -107,6 +112,7 @@
     std::shared_ptr<http1::Listener> readiness_;
     std::unique_ptr<ReportServer> reportServer_;
     bool nodesKnown_ = false; ///< A list of nodes has been read, so the own earlier entry is known.
+    bool spreadDue_ = false;
     bool stopping_ = false;
     bool listenerClosed_ = false;
     TimePoint stopStarted_;
@@ -122,14 +128,18 @@
     , headers_(headers)
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
     , timer_(context_)
+    , spreadTimer_(context_)
     , directory_({ settings_.node_, settings_.zone_, settings_.region_, settings_.seed_ })
     , reports_(settings_.service_)
     , backendPool_(http1::Pool::create(context_, { .server_ = settings_.backend_ }))
     , gate_({ .service_ = settings_.service_, .headers_ = headers_ }, backendPool_)
     , links_(context_,
-          { [this](const std::string& node, std::uint64_t version) {
-               onPeerVersion(node, version);
+          { [this] {
+               return HelloFrame { settings_.node_, incarnation_, version() };
            },
+              [this](const std::string& node, std::uint64_t version) {
+                  onPeerVersion(node, version);
+              },
               [this](const std::string&, const StateFrame& state) {
                   onState(state);
               },
@@ -232,6 +242,9 @@
             { "service", settings_.service_ }, { "callers", settings_.callers_.text() },
             { "first_start", static_cast<int>(settings_.firstStart_) } });
     waitForSignal();
+    directory_.onLevelStep([this] {
+        spreadLevelsSoon();
+    });
     startWatches();
     tick();
     context_.run();
@@ -534,7 +547,7 @@
     const auto& gate = gate_.stats();
     logEvent(LogLevel::Info, "load",
         { { "running", load.running_ }, { "queued", load.queued_ }, { "limit", load.limit_ },
-            { "level", load.level_ }, { "downstream_level", entry_.downstreamLevel() },
+            { "level", load.level_ }, { "called_level", load.called_.level_ },
             { "requests", callers.requests_ }, { "answered", callers.answered_ },
             { "refused", callers.refused_ }, { "shed", callers.shed_ }, { "failed", callers.failed_ },
             { "retries", callers.retries_ }, { "gate_admitted", gate.admitted_ },
@@ -574,23 +587,42 @@
     set("wagtailhead_config_version", "Version of the configuration in force.", version());
 }
 
+auto SidecarProcess::spreadLevels() -> void
+{
+    gate_.setCalledLevel(entry_.calledLevel());
+    linkServer_->tick(Clock::now());
+}
+
+auto SidecarProcess::spreadLevelsSoon() -> void
+{
+    if (std::exchange(spreadDue_, true)) {
+        return;
+    }
+    spreadTimer_.expires_after(spreadDelay);
+    spreadTimer_.async_wait([this](const asio::error_code& error) {
+        spreadDue_ = false;
+        if (!error) {
+            spreadLevels();
+        }
+    });
+}
+
 auto SidecarProcess::tick() -> void
 {
     const auto now = Clock::now();
     entry_.tick();
     if (++ticks_ % slowTicks == 0) {
-        gate_.setDownstreamLevel(entry_.downstreamLevel());
+        spreadLevels();
         gate_.tick();
         backendPool_->tick(now);
         links_.tick(now);
-        linkServer_->tick(now);
         callers_->tick(now);
         readiness_->tick(now);
         reportServer_->tick(now);
         store_->tick(now);
     }
     if (ticks_ % judgeTicks == 0) {
-        gate_.judgeOrigins(directory_.nodeShares());
+        gate_.judgeOrigins();
         for (const auto& entry : directory_.unreachable()) {
             links_.connect(entry);
         }
