feat(sidecar): a stopping node serves its backend server until callers know

Cause: a node closed its gate at SIGTERM, but went on for 2.5 s or more until callers had seen that it is not ready. Change: the gate goes on for 1.75 s (less where the stop time is short) with requests that end before the listener for the backend server's calls closes; then it closes and the entry says so. Ruled out: going on until the listener closes, since requests could then lose their calls.

--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -75,7 +75,7 @@
     if (call.service_ != options_.service_) {
         return GateReason::WrongService;
     }
-    if (stopping_) {
+    if (stopping_ || call.deadline_ > lastEnd_) {
         return GateReason::Stopping;
     }
     switch (instance_.phase_) {
--- a/src/libsidecar/gate.h
+++ b/src/libsidecar/gate.h
@@ -66,6 +66,11 @@
 
     auto setInstance(const BackendInstance& instance) -> void;
     auto setMaxConnections(std::size_t count) -> void;
+    /// Refuses requests that may end after `lastEnd`.
+    auto admitUntil(TimePoint lastEnd) -> void
+    {
+        lastEnd_ = lastEnd;
+    }
     /// Refuses all further requests.
     auto stopAdmitting() -> void;
 
@@ -154,6 +159,7 @@
     LevelController level_;
     ReportedLevel calledLevel_;
     TimePoint calledLevelSet_;
+    TimePoint lastEnd_ = TimePoint::max();
     bool stopping_ = false;
     GateStats stats_;
 };
--- a/src/libsidecar/gate_test.cpp
+++ b/src/libsidecar/gate_test.cpp
@@ -230,6 +230,20 @@
     cr_assert(left > 1000 && left <= 2000);
 }
 
+Test(gate, takes_only_what_ends_before_the_stop)
+{
+    World world;
+    world.gate_.admitUntil(bootNow() + seconds(2));
+    auto longCall = testCall("long");
+    longCall.deadline_ = bootNow() + seconds(3);
+    world.submit(std::move(longCall));
+    cr_assert(world.replies_["long"].reason_ == GateReason::Stopping);
+    auto shortCall = testCall("short");
+    shortCall.deadline_ = bootNow() + seconds(1);
+    world.submit(std::move(shortCall));
+    cr_assert(world.pool_->sent_.size() == 1);
+}
+
 Test(gate, refuses_another_service_and_after_the_stop)
 {
     World world;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -80,6 +80,7 @@
     auto waitForSignal() -> void;
     auto reload() -> void;
     auto beginStop() -> void;
+    auto stopAccepting() -> void;
     auto checkStopped() -> void;
     auto tick() -> void;
     auto spreadLevels() -> void;
@@ -114,6 +115,7 @@
     bool nodesKnown_ = false; ///< A list of nodes has been read, so the own earlier entry is known.
     bool spreadDue_ = false;
     bool stopping_ = false;
+    bool accepting_ = true; ///< The gate takes requests.
     bool listenerClosed_ = false;
     TimePoint stopStarted_;
     std::optional<StopSequence> stop_; ///< Set while stopping.
@@ -397,7 +399,7 @@
     if (belief.phase_ == BackendPhase::Unknown && !belief.id_.empty()) {
         entry.phase_ = BackendPhase::Ready; // As published before; its next report is due soon.
     }
-    entry.accepting_ = !stopping_;
+    entry.accepting_ = accepting_;
     const auto* published = directory_.find(settings_.node_);
     entry.generation_ = published == nullptr ? 0 : published->generation_;
     if (published == nullptr || !(entry == *published)) {
@@ -520,8 +522,15 @@
     stopStarted_ = Clock::now();
     stop_.emplace(settings_.stopTime_);
     callers_->startClosing();
-    gate_.stopAdmitting();
-    publish(nullptr);
+    gate_.admitUntil(bootNow() + stop_->lastEnd());
+}
+
+auto SidecarProcess::stopAccepting() -> void
+{
+    if (std::exchange(accepting_, false)) {
+        gate_.stopAdmitting();
+        publish(nullptr);
+    }
 }
 
 auto SidecarProcess::checkStopped() -> void
@@ -529,7 +538,11 @@
     switch (stop_->next(Clock::now() - stopStarted_, entry_.inFlight(), gate_.inFlight())) {
     case StopStep::Serve:
         break;
+    case StopStep::Drain:
+        stopAccepting();
+        break;
     case StopStep::Finish:
+        stopAccepting();
         if (!std::exchange(listenerClosed_, true)) {
             callers_->stop();
         }
--- a/src/libsidecar/stop_sequence.cpp
+++ b/src/libsidecar/stop_sequence.cpp
@@ -1,11 +1,17 @@
 #include "stop_sequence.h"
 
+#include <algorithm>
+
 namespace wagtailhead {
 
 namespace {
 
 /// Callers ask each second whether a node is ready, and turn away after two misses.
 constexpr Duration notice = milliseconds(2500);
+/// The backend server works on for this part of the notice, but not for longer than this part of the stop
+/// time; its last requests end during the rest.
+constexpr double servingNoticePart = 0.7;
+constexpr double servingPart = 0.3;
 /// A request that is taken later might not end before SIGKILL.
 constexpr double lastTakingPart = 0.55;
 constexpr double endPart = 0.87;
@@ -19,10 +25,19 @@
 
 } // namespace
 
+auto StopSequence::lastEnd() const -> Duration
+{
+    return partOf(stopTime_, lastTakingPart);
+}
+
 auto StopSequence::next(Duration spent, std::size_t requests, std::size_t backendRequests) -> StopStep
 {
+    if (step_ == StopStep::Serve
+        && spent > std::min(partOf(notice, servingNoticePart), partOf(stopTime_, servingPart))) {
+        step_ = StopStep::Drain;
+    }
     const bool takenLongEnough = spent > notice && backendRequests == 0;
-    if (step_ == StopStep::Serve && (takenLongEnough || spent > partOf(stopTime_, lastTakingPart))) {
+    if (step_ == StopStep::Drain && (takenLongEnough || spent > partOf(stopTime_, lastTakingPart))) {
         step_ = StopStep::Finish;
         finishingSince_ = spent;
     }
--- a/src/libsidecar/stop_sequence.h
+++ b/src/libsidecar/stop_sequence.h
@@ -8,7 +8,8 @@
 namespace wagtailhead {
 
 enum class StopStep {
-    Serve, ///< Callers may not have seen yet that the node is not ready.
+    Serve, ///< Callers may not have seen yet that the node is not ready; the backend server works on.
+    Drain, ///< The backend server gets nothing new.
     Finish, ///< Takes no new connection and no further request; what is in flight goes on.
     End,
 };
@@ -26,6 +27,10 @@
     /// `backendRequests` those at the backend server, which still makes calls for them.
     auto next(Duration spent, std::size_t requests, std::size_t backendRequests) -> StopStep;
 
+    /// Returns the time after SIGTERM until which the backend server can still make calls; what it is given
+    /// has to end before.
+    auto lastEnd() const -> Duration;
+
 private:
     Duration stopTime_;
     StopStep step_ = StopStep::Serve;
--- a/src/libsidecar/stop_sequence_test.cpp
+++ b/src/libsidecar/stop_sequence_test.cpp
@@ -8,6 +8,7 @@
 {
     StopSequence stop(seconds(6));
     cr_assert(stop.next(milliseconds(1000), 0, 0) == StopStep::Serve);
+    cr_assert(stop.next(milliseconds(1800), 0, 0) == StopStep::Drain);
     cr_assert(stop.next(milliseconds(2600), 0, 0) == StopStep::Finish);
     cr_assert(stop.next(milliseconds(2800), 0, 0) == StopStep::End);
 }
@@ -17,7 +18,7 @@
 Test(stop_sequence, a_node_whose_callers_go_on_takes_nothing_late)
 {
     StopSequence stop(seconds(6));
-    cr_assert(stop.next(milliseconds(3000), 5, 2) == StopStep::Serve, "the backend server still makes calls");
+    cr_assert(stop.next(milliseconds(3000), 5, 2) == StopStep::Drain, "the backend server still makes calls");
     cr_assert(stop.next(milliseconds(3400), 5, 2) == StopStep::Finish);
     cr_assert(stop.next(milliseconds(4900), 1, 0) == StopStep::Finish, "what is in flight goes on");
     cr_assert(stop.next(milliseconds(5000), 0, 0) == StopStep::End);
@@ -29,3 +30,20 @@
     stop.next(milliseconds(3400), 5, 5);
     cr_assert(stop.next(milliseconds(5300), 5, 5) == StopStep::End);
 }
+
+Test(stop_sequence, the_backend_server_works_on_at_first)
+{
+    StopSequence stop(seconds(6));
+    cr_assert(stop.next(milliseconds(1500), 9, 9) == StopStep::Serve);
+    cr_assert(stop.lastEnd() > milliseconds(2500) && stop.lastEnd() < seconds(4));
+    cr_assert(stop.next(milliseconds(1900), 9, 9) == StopStep::Drain);
+}
+
+Test(stop_sequence, a_short_stop_time_shortens_each_step)
+{
+    StopSequence stop(seconds(1));
+    cr_assert(stop.next(milliseconds(200), 1, 1) == StopStep::Serve);
+    cr_assert(stop.next(milliseconds(350), 1, 1) == StopStep::Drain);
+    cr_assert(stop.next(milliseconds(600), 1, 1) == StopStep::Finish);
+    cr_assert(stop.next(milliseconds(900), 1, 1) == StopStep::End);
+}
