feat(sidecar): levels count by what a gate can do; slow backend servers are picked late; repeats at services that call nothing

Change: the mean level of a region counts each gate by slots over service time; the service time against the objective counts in the choice of a node, and is forgotten after 3 s without a request. A node reports whether its backend server makes calls; towards services that make none all repeats draw on the larger part of the budget.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -50,13 +50,21 @@
     Duration age_ {};
 };
 
+enum class CallsMade : std::uint8_t {
+    Unknown, ///< Too few requests have been answered to tell.
+    None,
+    Some,
+};
+
 /// The load of a backend server as its node measures it.
 struct GateLoad {
     int running_ = 0;
     int queued_ = 0;
     int limit_ = 0;
+    Duration serviceTime_ {}; ///< Mean time that the backend server takes; 0 if not known.
     double level_ = 0; ///< How much less important work to refuse for this backend server (see ShedLevel).
     ReportedLevel called_ {}; ///< The same for the services that it calls.
+    CallsMade calls_ = CallsMade::Unknown; ///< By the backend server.
 };
 
 struct DirectoryOptions {
@@ -85,15 +93,18 @@
     auto serves(std::string_view service) const -> bool;
 
     /// Picks the node for the next attempt, or nothing. Prefers the own zone, then the own region, by the
-    /// share of the backend server's capacity in use.
-    auto pick(std::string_view service, const std::vector<std::string>& tried, TimePoint now)
+    /// share of the backend server's capacity in use and by its time against the latency objective `goal`.
+    auto pick(std::string_view service, Duration goal, const std::vector<std::string>& tried, TimePoint now)
         -> std::optional<NodeEntry>;
 
-    /// Returns the level of a service as it counts here: the lowest mean level of a region's nodes, since
-    /// requests go to another region before they are refused. The age is the mean over the nodes that
-    /// refuse requests.
+    /// Returns the level of a service as it counts here: the lowest mean level of a region's nodes, each by
+    /// the requests that it can do, since requests go to another region before they are refused. The age is
+    /// the mean over the nodes that refuse requests.
     auto level(std::string_view service, TimePoint now) const -> ReportedLevel;
 
+    /// Returns whether the backend servers of a service make no calls, as far as its nodes can tell.
+    auto callsNothing(std::string_view service) const -> bool;
+
     /// Runs `handler` whenever a node reports a level that differs by a step from its last one.
     auto onLevelStep(std::function<void()> handler) -> void
     {
@@ -133,7 +144,8 @@
     static auto levelOf(const Known& known, TimePoint now) -> ReportedLevel;
     auto nodesOf(std::string_view service) const -> const std::vector<Known*>&;
     auto indexServices() -> void;
-    auto score(const Known& known, TimePoint now) -> double;
+    static auto rateOf(const Known& known) -> double;
+    auto score(const Known& known, Duration goal, TimePoint now) -> double;
 
     DirectoryOptions options_;
     std::map<std::string, Known> nodes_;
--- a/src/libsidecar/caller_entry.cpp
+++ b/src/libsidecar/caller_entry.cpp
@@ -33,6 +33,8 @@
 constexpr Duration assumedCallerTime = seconds(30);
 /// A service that the backend server has not called for this long does not count as called.
 constexpr Duration calledLife = seconds(2);
+/// A backend server that has made no calls for this long is taken to make none.
+constexpr Duration callsLife = std::chrono::minutes(1);
 /// Above this level a service fails for want of room, and repeats make it worse.
 constexpr ShedLevel overloadLevel = 0.1;
 
@@ -72,7 +74,7 @@
     auto onNotRun(const GateReply& reply) -> void;
     auto onUnknown(GateReason reason) -> void;
     auto fence(std::uint64_t incarnation) -> void;
-    auto mayRepeat(RetryBudget& budget) -> bool;
+    auto mayRepeat(bool ran) -> bool;
     auto refuse(const char* reason) -> void;
     auto fail(int status, const char* reason) -> void;
     auto giveUp(const char* reason) -> void;
@@ -181,7 +183,7 @@
         giveUp("no-time");
         return;
     }
-    current_ = entry_.parts_.directory_.pick(service_, tried_, Clock::now());
+    current_ = entry_.parts_.directory_.pick(service_, route_->goal_, tried_, Clock::now());
     if (!current_) {
         giveUp("no-backend");
         return;
@@ -279,10 +281,10 @@
     }
 }
 
-auto CallerEntry::Operation::mayRepeat(RetryBudget& budget) -> bool
+auto CallerEntry::Operation::mayRepeat(bool ran) -> bool
 {
     return arrivals_ < route_->maxAttempts_ && deadline_ - bootNow() > leastAttemptTime
-        && entry_.parts_.directory_.level(service_, Clock::now()).level_ < overloadLevel && budget.tryTake();
+        && entry_.takeRepeat(service_, ran);
 }
 
 auto CallerEntry::Operation::onAnswered(GateReply reply) -> void
@@ -296,7 +298,7 @@
         entry_.parts_.directory_.onSuccess(current_->node_);
     }
     const bool timedOut = reply.response_.status_ == statusGatewayTimeout;
-    if (failed && !timedOut && route_->idempotent_ && mayRepeat(entry_.budgetsOf(service_).ran_)) {
+    if (failed && !timedOut && route_->idempotent_ && mayRepeat(true)) {
         ++entry_.stats_.retries_;
         lastAnswer_ = std::move(reply.response_);
         current_.reset();
@@ -318,7 +320,7 @@
         giveUp(reason);
         return;
     }
-    if (reply.arrived_ && !mayRepeat(entry_.budgetsOf(service_).rejected_)) {
+    if (reply.arrived_ && !mayRepeat(false)) {
         giveUp(reason);
         return;
     }
@@ -330,7 +332,7 @@
     current_.reset();
     ++arrivals_;
     mayHaveRun_ = true;
-    if (route_->idempotent_ && reason != GateReason::Timeout && mayRepeat(entry_.budgetsOf(service_).ran_)) {
+    if (route_->idempotent_ && reason != GateReason::Timeout && mayRepeat(true)) {
         ++entry_.stats_.retries_;
         attempt();
         return;
@@ -483,6 +485,26 @@
     return *budgets;
 }
 
+auto CallerEntry::takeRepeat(const std::string& service, bool ran) -> bool
+{
+    auto& budgets = budgetsOf(service);
+    const auto& directory = parts_.directory_;
+    const bool leaf = directory.callsNothing(service);
+    // Where nothing is called, a repeat costs less than the tree that fails without it.
+    if (!leaf && directory.level(service, Clock::now()).level_ >= overloadLevel) {
+        return false;
+    }
+    return ran && !leaf ? budgets.ran_.tryTake() : budgets.rejected_.tryTake();
+}
+
+auto CallerEntry::makesCalls() const -> bool
+{
+    const auto now = Clock::now();
+    return std::any_of(calledServices_.begin(), calledServices_.end(), [&](const auto& item) {
+        return now - item.second < callsLife;
+    });
+}
+
 auto CallerEntry::calledLevel() const -> ReportedLevel
 {
     const auto now = Clock::now();
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -23,7 +23,8 @@
     /// The part of the site's retry budget for repeats of requests that have run. Their calls count as
     /// repeats where they arrive, so the hops of a chain share the budget.
     double ranPart_ = 0.1;
-    /// The part for repeats of requests that a backend server has rejected.
+    /// The part for repeats of requests that a backend server has rejected, and of all requests to services
+    /// that call nothing: these repeats cause no others.
     double rejectedPart_ = 0.5;
     double retryShare_ = 0.1; ///< Extra arrivals for each first one, over all nodes.
     double retryBurst_ = 10; ///< Extra arrivals beyond the share, over all nodes.
@@ -66,6 +67,9 @@
     /// The level of the services that the backend server of this VM calls.
     auto calledLevel() const -> ReportedLevel;
 
+    /// Returns whether the backend server of this VM has made calls lately.
+    auto makesCalls() const -> bool;
+
     /// Returns the log lines dropped since the last call.
     auto takeDroppedLines() -> std::uint64_t
     {
@@ -97,6 +101,8 @@
         RetryBudget rejected_;
     };
     auto budgetsOf(const std::string& service) -> Budgets&;
+    /// Takes a repeat from the budget. `ran` tells whether the request has run, or may have.
+    auto takeRepeat(const std::string& service, bool ran) -> bool;
     auto budgetOptions(double part) const -> RetryBudgetOptions;
     auto takeReply(const std::string& service, const SiteRoute& route, const GateReply& reply) -> void;
     auto shouldShed(
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -13,6 +13,10 @@
 /// between zones of a region, and the round trip to another region.
 constexpr double otherZonePenalty = 0.3;
 constexpr double otherRegionPenalty = 1.3;
+/// A slow backend server that gets no requests is tried again after this time.
+constexpr Duration slownessLife = seconds(3);
+/// Of a backend server that has not answered anything yet.
+constexpr Duration assumedServiceTime = milliseconds(30);
 /// A node at level 1 refuses a whole rank; it counts as one whose slots are all taken once more.
 constexpr double levelPenalty = 1.0;
 /// A reported level holds for this time and then falls, so that a node that gets nothing is tried again.
@@ -143,31 +147,52 @@
 {
     struct Sum {
         double levels_ = 0;
-        Duration weightedAges_ {};
-        int nodes_ = 0;
+        Duration ages_ {};
+        double rates_ = 0;
     };
     std::map<std::string_view, Sum> regions;
     for (const auto* known : nodesOf(service)) {
         if (isUsable(*known) && !known->unreachable_) {
             auto& sum = regions[known->entry_.region_];
             const auto level = levelOf(*known, now);
-            sum.levels_ += level.level_;
-            sum.weightedAges_ += std::chrono::duration_cast<Duration>(level.age_ * level.level_);
-            ++sum.nodes_;
+            const double rate = rateOf(*known);
+            sum.levels_ += level.level_ * rate;
+            sum.ages_ += std::chrono::duration_cast<Duration>(level.age_ * (level.level_ * rate));
+            sum.rates_ += rate;
         }
     }
     std::optional<ReportedLevel> lowest;
     for (const auto& [region, sum] : regions) {
-        const double mean = sum.levels_ / sum.nodes_;
+        const double mean = sum.levels_ / sum.rates_;
         if (!lowest || mean < lowest->level_) {
-            const auto age = sum.levels_ > 0 ? sum.weightedAges_ / sum.levels_ : Duration::zero();
+            const auto age = sum.levels_ > 0 ? sum.ages_ / sum.levels_ : Duration::zero();
             lowest = { mean, std::chrono::duration_cast<Duration>(age) };
         }
     }
     return lowest.value_or(ReportedLevel {});
 }
 
-auto Directory::score(const Known& known, TimePoint now) -> double
+auto Directory::callsNothing(std::string_view service) const -> bool
+{
+    bool known = false;
+    for (const auto* node : nodesOf(service)) {
+        if (node->load_.calls_ == CallsMade::Some) {
+            return false;
+        }
+        known = known || node->load_.calls_ == CallsMade::None;
+    }
+    return known;
+}
+
+auto Directory::rateOf(const Known& known) -> double
+{
+    const int limit = known.load_.limit_ > 0 ? known.load_.limit_ : std::max(known.entry_.capacity_, 1);
+    const auto time
+        = known.load_.serviceTime_ > Duration::zero() ? known.load_.serviceTime_ : assumedServiceTime;
+    return limit / std::chrono::duration<double>(time).count();
+}
+
+auto Directory::score(const Known& known, Duration goal, TimePoint now) -> double
 {
     const double capacity
         = std::max(known.entry_.capacity_ > 0 ? known.entry_.capacity_ : assumedCapacity, 1);
@@ -180,12 +205,16 @@
     } else if (known.entry_.zone_ != options_.zone_) {
         score += otherZonePenalty;
     }
+    const std::chrono::duration<double> slowness = known.load_.serviceTime_;
+    const double remembered
+        = std::clamp(1 - (now - known.loadTime_) / std::chrono::duration<double>(slownessLife), 0.0, 1.0);
+    score += slowness / goal * remembered;
     score += known.failureShare_ * failurePenalty + levelOf(known, now).level_ * levelPenalty;
     return score + std::uniform_real_distribution<>(0, jitter)(random_);
 }
 
-auto Directory::pick(std::string_view service, const std::vector<std::string>& tried, TimePoint now)
-    -> std::optional<NodeEntry>
+auto Directory::pick(std::string_view service, Duration goal, const std::vector<std::string>& tried,
+    TimePoint now) -> std::optional<NodeEntry>
 {
     const Known* best = nullptr;
     double bestScore = 0;
@@ -195,7 +224,7 @@
         }
         constexpr double avoided = 100;
         const double value
-            = score(*known, now) + (known->unreachable_ || now < known->avoidUntil_ ? avoided : 0);
+            = score(*known, goal, now) + (known->unreachable_ || now < known->avoidUntil_ ? avoided : 0);
         if (best == nullptr || value < bestScore) {
             best = known;
             bestScore = value;
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -448,7 +448,7 @@
 auto Gate::load() const -> GateLoad
 {
     const ReportedLevel called { calledLevel_.level_, calledLevel_.age_ + (bootNow() - calledLevelSet_) };
-    return { running_, waiting_, limit(), level_.level(), called };
+    return { running_, waiting_, limit(), meanServiceTime_, level_.level(), called, calls_ };
 }
 
 } // namespace wagtailhead
--- a/src/libsidecar/gate.h
+++ b/src/libsidecar/gate.h
@@ -83,6 +83,12 @@
         calledLevelSet_ = bootNow();
     }
 
+    /// What has been seen of the backend server's calls.
+    auto setCallsMade(CallsMade calls) -> void
+    {
+        calls_ = calls;
+    }
+
     /// Drops what has waited too long. Call it every 100 ms or so.
     auto tick() -> void;
 
@@ -157,6 +163,7 @@
     TimePoint nextRecordSweep_;
     RouteOrigins origins_;
     LevelController level_;
+    CallsMade calls_ = CallsMade::Unknown;
     ReportedLevel calledLevel_;
     TimePoint calledLevelSet_;
     TimePoint lastEnd_ = TimePoint::max();
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -156,8 +156,9 @@
     packAll(stream, typeNumber<ReplyFrame>(), frame.id_, frame.configVersion_,
         static_cast<int>(reply.outcome_), static_cast<int>(reply.reason_), reply.arrived_,
         reply.response_.status_, reply.response_.headers_.lines(), reply.response_.body_,
-        reply.load_.running_, reply.load_.queued_, reply.load_.limit_, reply.load_.level_,
-        reply.load_.called_.level_, millisecondsOf(reply.load_.called_.age_), reply.fromBackend_);
+        reply.load_.running_, reply.load_.queued_, reply.load_.limit_,
+        microsecondsOf(reply.load_.serviceTime_), reply.load_.level_, reply.load_.called_.level_,
+        millisecondsOf(reply.load_.called_.age_), static_cast<int>(reply.load_.calls_), reply.fromBackend_);
 }
 
 auto pack(StringStream& stream, const CancelFrame& frame) -> void
@@ -214,8 +215,17 @@
 auto pack(StringStream& stream, const LoadFrame& frame) -> void
 {
     const auto& load = frame.load_;
-    packAll(stream, typeNumber<LoadFrame>(), load.running_, load.queued_, load.limit_, load.level_,
-        load.called_.level_, millisecondsOf(load.called_.age_));
+    packAll(stream, typeNumber<LoadFrame>(), load.running_, load.queued_, load.limit_,
+        microsecondsOf(load.serviceTime_), load.level_, load.called_.level_,
+        millisecondsOf(load.called_.age_), static_cast<int>(load.calls_));
+}
+
+auto readCalls(int value) -> CallsMade
+{
+    if (value < 0 || value > static_cast<int>(CallsMade::Some)) {
+        throw msgpack::type_error();
+    }
+    return static_cast<CallsMade>(value);
 }
 
 auto readLoad(ArrayReader& reader) -> GateLoad
@@ -224,9 +234,11 @@
     load.running_ = reader.next<int>();
     load.queued_ = reader.next<int>();
     load.limit_ = reader.next<int>();
+    load.serviceTime_ = microseconds(reader.next<std::int64_t>());
     load.level_ = reader.next<double>();
     load.called_.level_ = reader.next<double>();
     load.called_.age_ = milliseconds(reader.next<std::int64_t>());
+    load.calls_ = readCalls(reader.next<int>());
     return load;
 }
 
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -21,6 +21,8 @@
 constexpr Duration tickInterval = milliseconds(50);
 /// The slower checks run on each n-th tick.
 constexpr int slowTicks = 2;
+/// With fewer answers the backend server's calls may not have been recognized yet.
+constexpr std::uint64_t answersBeforeJudging = 500;
 /// Levels that come in within this time are passed on together.
 constexpr Duration spreadDelay = milliseconds(15);
 /// The routes that only backend servers use are judged, and the load is logged, on each n-th tick.
@@ -83,6 +85,7 @@
     auto stopAccepting() -> void;
     auto checkStopped() -> void;
     auto tick() -> void;
+    auto callsMade() const -> CallsMade;
     auto spreadLevels() -> void;
     auto spreadLevelsSoon() -> void;
     auto logLoad() -> void;
@@ -600,6 +603,14 @@
     set("wagtailhead_config_version", "Version of the configuration in force.", version());
 }
 
+auto SidecarProcess::callsMade() const -> CallsMade
+{
+    if (entry_.makesCalls()) {
+        return CallsMade::Some;
+    }
+    return gate_.stats().answered_ > answersBeforeJudging ? CallsMade::None : CallsMade::Unknown;
+}
+
 auto SidecarProcess::spreadLevels() -> void
 {
     gate_.setCalledLevel(entry_.calledLevel());
@@ -636,6 +647,7 @@
     }
     if (ticks_ % judgeTicks == 0) {
         gate_.judgeOrigins();
+        gate_.setCallsMade(callsMade());
         for (const auto& entry : directory_.unreachable()) {
             links_.connect(entry);
         }
