feat(sidecar): a few nodes of each zone watch the store and tell the others

Change: two nodes of each zone, by a hash of their names, watch; they beat over the links to the other nodes of their zone and pass on changed entries; a new configuration goes over all open links at once. While none of a zone reaches the store, two more start to watch every 1.5 s, so an outage does not cost failed calls of every node. A stop is told over the links only; the generation of an entry starts from the clock of the process, and a new generation alone is not written. At a first start the lists wait until the entries are there. A lost link marks its node as unreachable at once, and a link that had been open is opened again. What a node knows of the site moved from sidecar.cpp to site_knowledge.cpp. Ruled out: leases in the store for the watchers, since each renewal is a paid call and two watchers too many do no harm.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -121,6 +121,8 @@
     auto onReachable(const std::string& node) -> void;
     /// Returns the nodes that take requests and could not be reached.
     auto unreachable() const -> std::vector<NodeEntry>;
+    /// Returns the nodes that are not known to be out of reach.
+    auto reachable() const -> std::vector<NodeEntry>;
     /// The node or its backend server did not take a request: it is avoided for a growing time.
     auto onUnavailable(const std::string& node, TimePoint now) -> void;
     /// The backend server beside the node failed a request; counts towards avoiding it.
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -113,7 +113,9 @@
              return HelloFrame {};
          },
             [](const std::string&, std::uint64_t) {}, [](const std::string&, const StateFrame&) {},
-            [](const NodeEntry&) {}, [](const std::string&, const GateLoad&) {}, [](const std::string&) {},
+            [](const NodeEntry&) {}, [](const std::string&, const BeatFrame&) {},
+            [](const std::string&, const GateLoad&) {}, [](const std::string&, bool) {},
+            [](const std::string&) {},
             [](std::uint64_t) {
                 return StateFrame {};
             } } };
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -302,6 +302,17 @@
     return nodes;
 }
 
+auto Directory::reachable() const -> std::vector<NodeEntry>
+{
+    std::vector<NodeEntry> nodes;
+    for (const auto& [name, known] : nodes_) {
+        if (!known.unreachable_) {
+            nodes.push_back(known.entry_);
+        }
+    }
+    return nodes;
+}
+
 auto Directory::onFailure(const std::string& node, TimePoint /*now*/) -> void
 {
     const auto found = nodes_.find(node);
--- a/src/libsidecar/entry_publisher.cpp
+++ b/src/libsidecar/entry_publisher.cpp
@@ -33,6 +33,19 @@
     return entry;
 }
 
+/// Returns whether the stored text says the same as the entry. The generation only orders entries, and each
+/// write is paid for.
+auto saysTheSame(const NodeEntry& entry, const std::string& storedText) -> bool
+{
+    const auto stored = parseEntry(entry.node_, storedText);
+    if (!isOk(stored)) {
+        return false;
+    }
+    auto same = valueOf(stored);
+    same.generation_ = entry.generation_;
+    return same == entry;
+}
+
 } // namespace
 
 auto entryText(const NodeEntry& entry) -> std::string
@@ -110,7 +123,7 @@
         return;
     }
     auto text = entryText(*wanted_);
-    if (revision_ != 0 && text == writtenText_) {
+    if (revision_ != 0 && saysTheSame(*wanted_, writtenText_)) {
         confirm();
         return;
     }
--- a/src/libsidecar/kind_watch.cpp
+++ b/src/libsidecar/kind_watch.cpp
@@ -38,9 +38,21 @@
 {
 }
 
-auto KindWatch::start() -> void
+auto KindWatch::start(Duration delay) -> void
 {
-    list();
+    listWanted_ = true;
+    pause(delay);
+}
+
+auto KindWatch::setWatching(bool watching) -> void
+{
+    watching_ = watching;
+    proceed();
+}
+
+auto KindWatch::skipList() -> void
+{
+    listWanted_ = false;
 }
 
 auto KindWatch::stop() -> void
@@ -65,40 +77,58 @@
     }
 }
 
+auto KindWatch::proceed() -> void
+{
+    if (stopped_ || busy_) {
+        return;
+    }
+    if (!listed_ && (listWanted_ || watching_)) {
+        list();
+    } else if (listed_ && watching_) {
+        watch();
+    }
+}
+
 auto KindWatch::list() -> void
 {
+    busy_ = true;
     store_.list(kind_, [self = shared_from_this()](std::variant<StoredList, StoreError> result) {
+        self->busy_ = false;
         if (self->stopped_) {
             return;
         }
         if (const auto* error = std::get_if<StoreError>(&result)) {
             self->setReachable(false, *error);
-            self->pauseThen(&KindWatch::list);
+            self->pauseAfterFailure();
             return;
         }
         const auto& listed = std::get<StoredList>(result);
         self->setReachable(true, {});
         self->failures_ = 0;
         self->revision_ = listed.revision_;
+        self->listed_ = true;
+        self->listWanted_ = false;
         self->events_.onList_(listed.objects_);
-        self->watch();
+        self->proceed();
     });
 }
 
 auto KindWatch::watch() -> void
 {
+    busy_ = true;
     store_.watch(kind_, revision_, watchWait,
         [self = shared_from_this()](std::variant<StoredChanges, StoreError> result) {
+            self->busy_ = false;
             if (self->stopped_) {
                 return;
             }
             if (const auto* error = std::get_if<StoreError>(&result)) {
                 if (*error == StoreError::HistoryGone) {
-                    self->pauseThen(&KindWatch::list);
+                    self->listed_ = false;
                 } else {
                     self->setReachable(false, *error);
-                    self->pauseThen(&KindWatch::watch);
                 }
+                self->pauseAfterFailure();
                 return;
             }
             self->setReachable(true, {});
@@ -109,27 +139,29 @@
                 self->events_.onChange_(change);
             }
             if (changes.changes_.empty()) {
-                self->watch();
+                self->proceed();
             } else {
-                self->callAfter(self->batch_, &KindWatch::watch);
+                self->pause(self->batch_);
             }
         });
 }
 
-auto KindWatch::pauseThen(void (KindWatch::*next)()) -> void
+auto KindWatch::pauseAfterFailure() -> void
 {
-    const auto pause = std::min(firstPause * (1 << std::min(failures_, mostDoublings)), longestPause);
+    const auto longest = std::min(firstPause * (1 << std::min(failures_, mostDoublings)), longestPause);
     ++failures_;
     std::uniform_real_distribution<> jitter(0.7, 1.0);
-    callAfter(std::chrono::duration_cast<Duration>(pause * jitter(random_)), next);
+    pause(std::chrono::duration_cast<Duration>(longest * jitter(random_)));
 }
 
-auto KindWatch::callAfter(Duration pause, void (KindWatch::*next)()) -> void
+auto KindWatch::pause(Duration time) -> void
 {
-    timer_.expires_after(pause);
-    timer_.async_wait([self = shared_from_this(), next](const asio::error_code& error) {
-        if (!error && !self->stopped_) {
-            (self.get()->*next)();
+    busy_ = true;
+    timer_.expires_after(time);
+    timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+        self->busy_ = false;
+        if (!error) {
+            self->proceed();
         }
     });
 }
--- a/src/libsidecar/kind_watch.h
+++ b/src/libsidecar/kind_watch.h
@@ -19,22 +19,34 @@
     std::function<void(bool reachable)> onReachable_;
 };
 
-/// Lists, then watches, and starts over when the history is gone. Calls that fail are repeated at a bounded
-/// rate, since each is paid for. All members run in the context's single thread.
+/// Lists, then watches as long as it is told to, and starts over when the history is gone. Calls that fail
+/// are repeated at a bounded rate, since each is paid for. All members run in the context's single thread.
 class KindWatch : public std::enable_shared_from_this<KindWatch> {
 public:
     /// After changes it waits for `batch` before it watches again: each watch is paid for.
     KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, Duration batch,
         std::uint64_t seed, KindWatchEvents events);
 
-    auto start() -> void;
+    /// Lists the objects after `delay`, and again until that succeeds or skipList() is called.
+    auto start(Duration delay) -> void;
+    /// Whether to watch for changes. A watch under way is awaited all the same: it is paid for already.
+    auto setWatching(bool watching) -> void;
+    /// The objects are known from elsewhere. They are only listed before the next watch.
+    auto skipList() -> void;
     auto stop() -> void;
 
+    /// Returns whether the last call has been answered.
+    auto isReachable() const -> bool
+    {
+        return reachable_;
+    }
+
 private:
+    auto proceed() -> void;
     auto list() -> void;
     auto watch() -> void;
-    auto pauseThen(void (KindWatch::*next)()) -> void;
-    auto callAfter(Duration pause, void (KindWatch::*next)()) -> void;
+    auto pauseAfterFailure() -> void;
+    auto pause(Duration time) -> void;
     auto setReachable(bool reachable, StoreError error) -> void;
 
     ObjectStore& store_;
@@ -45,6 +57,10 @@
     std::mt19937_64 random_;
     std::uint64_t revision_ = 0;
     int failures_ = 0; ///< In a row.
+    bool listed_ = false;
+    bool listWanted_ = false;
+    bool watching_ = false;
+    bool busy_ = false; ///< A call or a pause is under way.
     bool reachable_ = true;
     bool stopped_ = false;
 };
--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -177,6 +177,8 @@
         owner_.events_.onState_(node_, std::move(*state));
     } else if (const auto* entry = std::get_if<EntryFrame>(&frame)) {
         owner_.events_.onEntry_(entry->entry_);
+    } else if (const auto* beat = std::get_if<BeatFrame>(&frame)) {
+        owner_.events_.onBeat_(node_, *beat);
     } else if (const auto* load = std::get_if<LoadFrame>(&frame)) {
         owner_.events_.onLoad_(node_, load->load_);
     } else if (const auto* request = std::get_if<StateRequestFrame>(&frame)) {
@@ -309,6 +311,7 @@
     for (auto& [id, pending] : fences) {
         pending.callback_(false);
     }
+    owner_.events_.onLost_(node_, incarnation_ != 0);
 }
 
 auto LinkClient::Link::close() -> void
@@ -390,11 +393,16 @@
     linkTo(node);
 }
 
-auto LinkClient::announce(const NodeEntry& entry) -> void
+auto LinkClient::tell(const NodeEntry& node, const Frame& frame) -> void
+{
+    linkTo(node)->send(frame);
+}
+
+auto LinkClient::broadcast(const Frame& frame) -> void
 {
     for (const auto& [node, link] : links_) {
-        if (!link->isBroken() && link->isOpen()) {
-            link->send(EntryFrame { entry });
+        if (link->isOpen()) {
+            link->send(frame);
         }
     }
 }
--- a/src/libsidecar/link_client.h
+++ b/src/libsidecar/link_client.h
@@ -32,8 +32,11 @@
     std::function<void(const std::string& node, StateFrame state)> onState_;
     /// A node has changed its entry.
     std::function<void(const NodeEntry& entry)> onEntry_;
+    std::function<void(const std::string& node, const BeatFrame& beat)> onBeat_;
     /// A node tells the load of its gate.
     std::function<void(const std::string& node, const GateLoad& load)> onLoad_;
+    /// A link broke, or could not be opened.
+    std::function<void(const std::string& node, bool wasOpen)> onLost_;
     /// A link is open.
     std::function<void(const std::string& node)> onOpen_;
     /// What this node knows, for a node that asks.
@@ -75,8 +78,11 @@
     /// Opens the link to a node unless it is open or being opened.
     auto connect(const NodeEntry& node) -> void;
 
-    /// Tells all connected nodes about a changed entry of this node.
-    auto announce(const NodeEntry& entry) -> void;
+    /// Sends a frame to a node; it is lost if the link breaks.
+    auto tell(const NodeEntry& node, const Frame& frame) -> void;
+
+    /// Sends a frame over all open links.
+    auto broadcast(const Frame& frame) -> void;
 
     /// Probes links on which replies are due. Call it every 100 ms.
     auto tick(TimePoint now) -> void;
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -220,6 +220,20 @@
         millisecondsOf(load.called_.age_), static_cast<int>(load.calls_));
 }
 
+auto pack(StringStream& stream, const BeatFrame& frame) -> void
+{
+    packAll(stream, typeNumber<BeatFrame>(), frame.configVersion_, frame.watching_, frame.storeReachable_);
+}
+
+auto readBeat(ArrayReader& reader) -> BeatFrame
+{
+    BeatFrame frame;
+    frame.configVersion_ = reader.next<std::uint64_t>();
+    frame.watching_ = reader.next<bool>();
+    frame.storeReachable_ = reader.next<bool>();
+    return frame;
+}
+
 auto readCalls(int value) -> CallsMade
 {
     if (value < 0 || value > static_cast<int>(CallsMade::Some)) {
@@ -336,6 +350,8 @@
         return readState(reader);
     case typeNumber<EntryFrame>():
         return EntryFrame { readEntry(reader.nextArray()) };
+    case typeNumber<BeatFrame>():
+        return readBeat(reader);
     case typeNumber<LoadFrame>():
         return LoadFrame { readLoad(reader) };
     default:
--- a/src/libsidecar/link_frames.h
+++ b/src/libsidecar/link_frames.h
@@ -65,13 +65,21 @@
     NodeEntry entry_;
 };
 
+/// What the sender knows of the store; sent when its configuration changes, and at intervals by nodes that
+/// watch the store for others.
+struct BeatFrame {
+    std::uint64_t configVersion_ = 0;
+    bool watching_ = false;
+    bool storeReachable_ = false;
+};
+
 /// The load of the sender's gate, told without a call while it refuses requests.
 struct LoadFrame {
     GateLoad load_;
 };
 
 using Frame = std::variant<HelloFrame, CallFrame, ReplyFrame, CancelFrame, FenceFrame, FenceReplyFrame,
-    PingFrame, PongFrame, StateRequestFrame, StateFrame, EntryFrame, LoadFrame>;
+    PingFrame, PongFrame, StateRequestFrame, StateFrame, EntryFrame, LoadFrame, BeatFrame>;
 
 /// Appends the frame with its length.
 auto appendFrame(std::string& out, const Frame& frame) -> void;
--- a/src/libsidecar/link_server.cpp
+++ b/src/libsidecar/link_server.cpp
@@ -38,6 +38,10 @@
     {
         stream_->send(frame);
     }
+    auto close() -> void
+    {
+        stream_->close();
+    }
 
 private:
     auto onFrame(Frame frame) -> void;
@@ -96,6 +100,8 @@
         stream_->send(parts_.state_(request->configVersion_));
     } else if (const auto* entry = std::get_if<EntryFrame>(&frame)) {
         parts_.onEntry_(entry->entry_);
+    } else if (const auto* beat = std::get_if<BeatFrame>(&frame)) {
+        parts_.onBeat_(callerNode_, *beat);
     } else if (const auto* state = std::get_if<StateFrame>(&frame)) {
         parts_.onState_(*state);
     }
@@ -156,12 +162,21 @@
     {
     }
 
+    ~AsioLinkServer() override
+    {
+        for (const auto& session : sessions_) {
+            session->close();
+        }
+    }
+    AsioLinkServer(const AsioLinkServer&) = delete;
+    auto operator=(const AsioLinkServer&) -> AsioLinkServer& = delete;
+
     auto listen(const Address& address) -> Result<Done>;
     auto accept() -> void;
-    auto announce(const NodeEntry& entry) -> void override
+    auto broadcast(const Frame& frame) -> void override
     {
         for (const auto& session : sessions_) {
-            session->send(EntryFrame { entry });
+            session->send(frame);
         }
     }
 
@@ -207,9 +222,7 @@
     }
     told_ = load;
     toldAt_ = now;
-    for (const auto& session : sessions_) {
-        session->send(LoadFrame { load });
-    }
+    broadcast(LoadFrame { load });
 }
 
 auto AsioLinkServer::accept() -> void
--- a/src/libsidecar/link_server.h
+++ b/src/libsidecar/link_server.h
@@ -17,6 +17,7 @@
     std::function<std::uint64_t()> configVersion_;
     std::function<StateFrame(std::uint64_t knownVersion)> state_;
     std::function<void(const NodeEntry& entry)> onEntry_;
+    std::function<void(const std::string& node, const BeatFrame& beat)> onBeat_;
     /// Whether this node lacks the configuration or the entries; it then asks the nodes that call it.
     std::function<bool()> lacksState_;
     std::function<void(const StateFrame& state)> onState_;
@@ -30,8 +31,8 @@
 
     virtual ~LinkServer() = default;
 
-    /// Tells all nodes that call this one about a changed entry.
-    virtual auto announce(const NodeEntry& entry) -> void = 0;
+    /// Sends a frame to all nodes that have a link to this one.
+    virtual auto broadcast(const Frame& frame) -> void = 0;
 
     /// Tells all nodes that call this one about its load while it refuses requests. Call it every 100 ms,
     /// and when a level has changed.
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -39,6 +39,10 @@
                     return StateFrame { "text", {} };
                 },
                 [](const NodeEntry&) {},
+                [this](const std::string& node, const BeatFrame& beat) {
+                    beatFrom_ = node;
+                    beat_ = beat;
+                },
                 [this] {
                     return lacksState_;
                 },
@@ -70,6 +74,9 @@
     bool lacksState_ = false;
     std::string learned_;
     double toldLevel_ = -1;
+    std::string beatFrom_;
+    BeatFrame beat_;
+    int lost_ = 0;
     Duration toldAge_ {};
     LinkClient client_ { context_,
         { [] {
@@ -82,10 +89,16 @@
                 state_ = state.configText_;
             },
             [](const NodeEntry&) {},
+            [this](const std::string&, const BeatFrame& beat) {
+                beat_ = beat;
+            },
             [this](const std::string&, const GateLoad& load) {
                 toldLevel_ = load.called_.level_;
                 toldAge_ = load.called_.age_;
             },
+            [this](const std::string&, bool) {
+                ++lost_;
+            },
             [](const std::string&) {},
             [](std::uint64_t) {
                 return StateFrame { "from the caller", {} };
@@ -275,3 +288,31 @@
         return world.toldLevel_ == 0;
     }));
 }
+
+Test(link, a_node_tells_what_it_knows_of_the_store)
+{
+    World world;
+    world.client_.tell(world.node_, BeatFrame { 7, true, true });
+    cr_assert(world.runUntil([&] {
+        return world.beat_.configVersion_ == 7;
+    }));
+    cr_assert(world.beatFrom_ == "caller" && world.beat_.watching_ && world.beat_.storeReachable_);
+    world.beat_ = {};
+    world.server_->broadcast(BeatFrame { 8, false, false });
+    cr_assert(world.runUntil([&] {
+        return world.beat_.configVersion_ == 8;
+    }));
+}
+
+Test(link, a_lost_link_is_reported)
+{
+    World world;
+    world.client_.connect(world.node_);
+    cr_assert(world.runUntil([&] {
+        return world.version_ == 3;
+    }));
+    world.server_.reset();
+    cr_assert(world.runUntil([&] {
+        return world.lost_ == 1;
+    }));
+}
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -1,10 +1,9 @@
 #include "wagtailhead/sidecar.h"
 
 #include "caller_entry.h"
-#include "entry_publisher.h"
-#include "kind_watch.h"
 #include "link_server.h"
 #include "report_server.h"
+#include "site_knowledge.h"
 #include "stop_sequence.h"
 #include "wagtailhead/log.h"
 #include "wagtailhead/metrics.h"
@@ -27,12 +26,6 @@
 constexpr Duration spreadDelay = milliseconds(15);
 /// The routes that only backend servers use are judged, and the load is logged, on each n-th tick.
 constexpr int judgeTicks = 20;
-/// A node behind in configuration asks a peer at most this often.
-constexpr Duration stateRequestInterval = milliseconds(300);
-/// How long changes are collected before the store is watched again. Nodes also tell each other about
-/// changed entries.
-constexpr Duration configurationBatch = milliseconds(200);
-constexpr Duration nodeBatch = seconds(1);
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
@@ -59,26 +52,15 @@
 
 private:
     auto openListeners() -> Result<Done>;
-    auto startWatches() -> void;
-    auto onConfigurationObject(const StoredObject& object) -> void;
-    auto adopt(const std::string& text, const char* source) -> void;
-    auto onNodeList(const std::vector<StoredObject>& objects) -> void;
-    auto onNodeChange(const StoredChange& change) -> void;
-    auto applyEntry(const StoredObject& object) -> void;
-    auto learnEntry(const NodeEntry& entry) -> void;
-    auto onOwnEntry(const NodeEntry& entry) -> void;
+    auto makeKnowledge() -> std::unique_ptr<SiteKnowledge>;
+    auto linkEvents() -> LinkEvents;
+    auto linkServerParts() -> LinkServerParts;
+    auto onConfiguration(const SiteConfiguration& configuration) -> void;
     auto onBelief() -> void;
-    auto publish(std::function<void()> onWritten) -> void;
-    auto onPeerVersion(const std::string& node, std::uint64_t version) -> void;
-    auto onState(const StateFrame& state) -> void;
-    auto stateFor(std::uint64_t knownVersion) const -> StateFrame;
+    auto onLinkLost(const std::string& node, bool wasOpen) -> void;
     auto onReadinessRequest(const http1::Request& request, const std::shared_ptr<http1::Exchange>& exchange)
         -> void;
     auto isReady() const -> bool;
-    auto version() const -> std::uint64_t
-    {
-        return configuration_ ? configuration_->version() : 0;
-    }
     auto waitForSignal() -> void;
     auto reload() -> void;
     auto beginStop() -> void;
@@ -101,28 +83,22 @@
     asio::steady_timer spreadTimer_;
     Directory directory_;
     BackendReports reports_;
-    NodeEntry own_;
-    SiteConfigurationPtr configuration_;
     std::shared_ptr<http1::Pool> backendPool_;
     Gate gate_;
     LinkClient links_;
-    CallerEntry entry_;
     std::unique_ptr<ObjectStore> store_;
-    std::shared_ptr<EntryPublisher> publisher_;
-    std::shared_ptr<KindWatch> configurationWatch_;
-    std::shared_ptr<KindWatch> nodeWatch_;
+    std::unique_ptr<SiteKnowledge> knowledge_;
+    CallerEntry entry_;
     std::unique_ptr<LinkServer> linkServer_;
     std::shared_ptr<http1::Listener> callers_;
     std::shared_ptr<http1::Listener> readiness_;
     std::unique_ptr<ReportServer> reportServer_;
-    bool nodesKnown_ = false; ///< A list of nodes has been read, so the own earlier entry is known.
     bool spreadDue_ = false;
     bool stopping_ = false;
     bool accepting_ = true; ///< The gate takes requests.
     bool listenerClosed_ = false;
     TimePoint stopStarted_;
     std::optional<StopSequence> stop_; ///< Set while stopping.
-    TimePoint nextStateRequest_;
     int ticks_ = 0;
 };
 
@@ -138,28 +114,9 @@
     , reports_(settings_.service_)
     , backendPool_(http1::Pool::create(context_, { .server_ = settings_.backend_ }))
     , gate_({ .service_ = settings_.service_, .headers_ = headers_ }, backendPool_)
-    , links_(context_,
-          { [this] {
-               return HelloFrame { settings_.node_, incarnation_, version() };
-           },
-              [this](const std::string& node, std::uint64_t version) {
-                  onPeerVersion(node, version);
-              },
-              [this](const std::string&, const StateFrame& state) {
-                  onState(state);
-              },
-              [this](const NodeEntry& entry) {
-                  learnEntry(entry);
-              },
-              [this](const std::string& node, const GateLoad& load) {
-                  directory_.onLoad(node, load, Clock::now());
-              },
-              [this](const std::string& node) {
-                  directory_.onReachable(node);
-              },
-              [this](std::uint64_t known) {
-                  return stateFor(known);
-              } })
+    , links_(context_, linkEvents())
+    , store_(platform_.openStore_(context_, settings_.store_))
+    , knowledge_(makeKnowledge())
     , entry_({ .node_ = settings_.node_,
                  .service_ = settings_.service_,
                  .headers_ = headers_,
@@ -167,38 +124,110 @@
                  .retryBurst_ = settings_.retryBurst_ },
           { directory_, links_, gate_,
               [this] {
-                  return configuration_;
+                  return knowledge_->configuration();
               } },
           settings_.seed_ + 1)
 {
-    own_.node_ = settings_.node_;
-    own_.zone_ = settings_.zone_;
-    own_.region_ = settings_.region_;
-    own_.service_ = settings_.service_;
-    own_.link_ = settings_.link_;
 }
 
-auto SidecarProcess::open() -> Result<Done>
+auto SidecarProcess::makeKnowledge() -> std::unique_ptr<SiteKnowledge>
+{
+    NodeEntry self;
+    self.node_ = settings_.node_;
+    self.zone_ = settings_.zone_;
+    self.region_ = settings_.region_;
+    self.service_ = settings_.service_;
+    self.link_ = settings_.link_;
+    return std::make_unique<SiteKnowledge>(
+        SiteKnowledgeOptions { std::move(self), incarnation_, settings_.firstStart_, settings_.seed_ + 2 },
+        SiteKnowledgeParts { .context_ = context_,
+            .store_ = *store_,
+            .platform_ = platform_,
+            .directory_ = directory_,
+            .reports_ = reports_,
+            .links_ = links_,
+            .broadcast_ =
+                [this](const Frame& frame) {
+                    links_.broadcast(frame);
+                    linkServer_->broadcast(frame);
+                },
+            .onConfiguration_ =
+                [this](const SiteConfiguration& configuration) {
+                    onConfiguration(configuration);
+                },
+            .onRestored_ =
+                [this] {
+                    onBelief();
+                } });
+}
+
+auto SidecarProcess::linkEvents() -> LinkEvents
+{
+    LinkEvents events;
+    events.hello_ = [this] {
+        return HelloFrame { settings_.node_, incarnation_, knowledge_->version() };
+    };
+    events.onConfigVersion_ = [this](const std::string& node, std::uint64_t version) {
+        knowledge_->onPeerVersion(node, version);
+    };
+    events.onState_ = [this](const std::string&, const StateFrame& state) {
+        knowledge_->onState(state);
+    };
+    events.onEntry_ = [this](const NodeEntry& entry) {
+        knowledge_->onEntry(entry);
+    };
+    events.onBeat_ = [this](const std::string& node, const BeatFrame& beat) {
+        knowledge_->onBeat(node, beat);
+    };
+    events.onLoad_ = [this](const std::string& node, const GateLoad& load) {
+        directory_.onLoad(node, load, Clock::now());
+    };
+    events.onLost_ = [this](const std::string& node, bool wasOpen) {
+        onLinkLost(node, wasOpen);
+    };
+    events.onOpen_ = [this](const std::string& node) {
+        directory_.onReachable(node);
+    };
+    events.state_ = [this](std::uint64_t known) {
+        return knowledge_->stateFor(known);
+    };
+    return events;
+}
+
+auto SidecarProcess::linkServerParts() -> LinkServerParts
 {
-    store_ = platform_.openStore_(context_, settings_.store_);
-    publisher_ = std::make_shared<EntryPublisher>(context_, *store_);
-    auto links = LinkServer::open(context_, settings_.link_,
-        { settings_.node_, incarnation_, gate_,
+    return { .node_ = settings_.node_,
+        .incarnation_ = incarnation_,
+        .gate_ = gate_,
+        .configVersion_ =
             [this] {
-                return version();
+                return knowledge_->version();
             },
+        .state_ =
             [this](std::uint64_t known) {
-                return stateFor(known);
+                return knowledge_->stateFor(known);
             },
+        .onEntry_ =
             [this](const NodeEntry& entry) {
-                learnEntry(entry);
+                knowledge_->onEntry(entry);
+            },
+        .onBeat_ =
+            [this](const std::string& node, const BeatFrame& beat) {
+                knowledge_->onBeat(node, beat);
             },
+        .lacksState_ =
             [this] {
-                return !configuration_ || !nodesKnown_;
+                return !knowledge_->configuration() || !knowledge_->areNodesKnown();
             },
+        .onState_ =
             [this](const StateFrame& state) {
-                onState(state);
-            } });
+                knowledge_->onState(state);
+            } };
+}
+
+auto SidecarProcess::open() -> Result<Done>
+{
+    auto links = LinkServer::open(context_, settings_.link_, linkServerParts());
     if (!isOk(links)) {
         return errorOf(links);
     }
@@ -228,10 +257,10 @@
         { platform_.decodeReport_, platform_.reportAnswer_, reports_,
             [this](std::function<void()> onWritten) {
                 onBelief();
-                publish(std::move(onWritten));
+                knowledge_->publish(std::move(onWritten));
             },
             [this] {
-                return nodesKnown_;
+                return knowledge_->areNodesKnown() || settings_.firstStart_;
             } });
     if (!isOk(reports)) {
         return errorOf(reports);
@@ -250,136 +279,22 @@
     directory_.onLevelStep([this] {
         spreadLevelsSoon();
     });
-    startWatches();
+    knowledge_->start();
     tick();
     context_.run();
     logEvent(LogLevel::Info, "stopped", { { "node", settings_.node_ } });
 }
 
-auto SidecarProcess::startWatches() -> void
+auto SidecarProcess::onConfiguration(const SiteConfiguration& configuration) -> void
 {
-    configurationWatch_ = std::make_shared<KindWatch>(context_, *store_, platform_.configurationKind_,
-        configurationBatch, settings_.seed_ + 2,
-        KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
-                             for (const auto& object : objects) {
-                                 onConfigurationObject(object);
-                             }
-                         },
-            [this](const StoredChange& change) {
-                if (!change.deleted_) {
-                    onConfigurationObject(change.object_);
-                }
-            },
-            nullptr });
-    nodeWatch_ = std::make_shared<KindWatch>(context_, *store_, nodeKind, nodeBatch, settings_.seed_ + 3,
-        KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
-                             onNodeList(objects);
-                         },
-            [this](const StoredChange& change) {
-                onNodeChange(change);
-            },
-            nullptr });
-    configurationWatch_->start();
-    nodeWatch_->start();
-}
-
-auto SidecarProcess::onConfigurationObject(const StoredObject& object) -> void
-{
-    if (object.name_ == platform_.configurationName_) {
-        adopt(object.value_, "store");
-    }
-}
-
-auto SidecarProcess::adopt(const std::string& text, const char* source) -> void
-{
-    auto decoded = platform_.decodeConfiguration_(text);
-    if (!isOk(decoded)) {
-        logEvent(LogLevel::Error, "configuration_refused",
-            { { "source", source }, { "error", errorOf(decoded).text_ } });
-        return;
-    }
-    const auto& configuration = valueOf(decoded);
-    if (configuration->version() <= version()) {
-        return;
-    }
-    logEvent(LogLevel::Info, "configuration_adopted",
-        { { "source", source }, { "version", configuration->version() }, { "before", version() },
-            { "routes", configuration->routes().size() } });
-    configuration_ = configuration;
-    const auto& limits = configuration->limits();
+    const auto& limits = configuration.limits();
     callers_->setLimits(
         { { limits.headerBytes_, limits.bodyBytes_ }, limits.headerTimeout_, limits.idleTimeout_ });
-    if (const auto* service = configuration->service(settings_.service_)) {
+    if (const auto* service = configuration.service(settings_.service_)) {
         gate_.setMaxConnections(service->maxConnections_);
     }
 }
 
-auto SidecarProcess::onNodeList(const std::vector<StoredObject>& objects) -> void
-{
-    std::vector<std::string> names;
-    bool ownSeen = false;
-    for (const auto& object : objects) {
-        applyEntry(object);
-        names.push_back(object.name_);
-        ownSeen = ownSeen || object.name_ == settings_.node_;
-    }
-    for (const auto& entry : directory_.entries()) {
-        if (entry.node_ != settings_.node_
-            && std::find(names.begin(), names.end(), entry.node_) == names.end()) {
-            directory_.remove(entry.node_);
-        }
-    }
-    if (!ownSeen) {
-        publisher_->onMissing();
-    }
-    nodesKnown_ = true;
-    publish(nullptr);
-}
-
-auto SidecarProcess::onNodeChange(const StoredChange& change) -> void
-{
-    if (!change.deleted_) {
-        applyEntry(change.object_);
-    } else if (change.object_.name_ != settings_.node_) {
-        directory_.remove(change.object_.name_);
-    }
-}
-
-auto SidecarProcess::applyEntry(const StoredObject& object) -> void
-{
-    const auto entry = parseEntry(object.name_, object.value_);
-    if (!isOk(entry)) {
-        logEvent(LogLevel::Warning, "entry_refused", { { "error", errorOf(entry).text_ } });
-        return;
-    }
-    if (object.name_ == settings_.node_) {
-        publisher_->onSeen(object);
-        onOwnEntry(valueOf(entry));
-        return;
-    }
-    learnEntry(valueOf(entry));
-}
-
-auto SidecarProcess::learnEntry(const NodeEntry& entry) -> void
-{
-    if (entry.node_ != settings_.node_ && directory_.apply(entry)) {
-        logEvent(LogLevel::Info, "node_changed",
-            { { "node", entry.node_ }, { "service", entry.service_ },
-                { "phase", backendPhaseName(entry.phase_) },
-                { "accepting", static_cast<int>(entry.accepting_) }, { "backend", entry.backendId_ },
-                { "generation", entry.generation_ } });
-    }
-}
-
-auto SidecarProcess::onOwnEntry(const NodeEntry& entry) -> void
-{
-    own_.generation_ = std::max(own_.generation_, entry.generation_);
-    if (!nodesKnown_) {
-        reports_.restore(entry);
-        onBelief();
-    }
-}
-
 auto SidecarProcess::onBelief() -> void
 {
     const auto& belief = reports_.belief();
@@ -391,76 +306,18 @@
         belief.address_.port_ == 0 ? settings_.backend_ : belief.address_, belief.capacity_, belief.phase_ });
 }
 
-auto SidecarProcess::publish(std::function<void()> onWritten) -> void
-{
-    const auto& belief = reports_.belief();
-    auto entry = own_;
-    entry.capacity_ = belief.capacity_;
-    entry.backendId_ = belief.id_;
-    entry.backendBornMs_ = belief.bornMs_;
-    entry.phase_ = belief.phase_;
-    if (belief.phase_ == BackendPhase::Unknown && !belief.id_.empty()) {
-        entry.phase_ = BackendPhase::Ready; // As published before; its next report is due soon.
-    }
-    entry.accepting_ = accepting_;
-    const auto* published = directory_.find(settings_.node_);
-    entry.generation_ = published == nullptr ? 0 : published->generation_;
-    if (published == nullptr || !(entry == *published)) {
-        entry.generation_ = std::max(own_.generation_, entry.generation_) + 1;
-        own_.generation_ = entry.generation_;
-        directory_.apply(entry);
-        links_.announce(entry);
-        linkServer_->announce(entry);
-    }
-    if (nodesKnown_) {
-        publisher_->publish(entry, std::move(onWritten));
-    }
-}
-
-auto SidecarProcess::onPeerVersion(const std::string& node, std::uint64_t peerVersion) -> void
-{
-    const auto now = Clock::now();
-    if (peerVersion <= version() || now < nextStateRequest_) {
-        return;
-    }
-    nextStateRequest_ = now + stateRequestInterval;
-    if (const auto* entry = directory_.find(node)) {
-        links_.requestState(*entry, version());
-    }
-}
-
-auto SidecarProcess::onState(const StateFrame& state) -> void
-{
-    if (!state.configText_.empty()) {
-        adopt(state.configText_, "peer");
-    }
-    for (const auto& entry : state.entries_) {
-        if (entry.node_ == settings_.node_) {
-            onOwnEntry(entry);
-        } else {
-            learnEntry(entry);
-        }
-    }
-    if (!nodesKnown_ && directory_.size() > 0) {
-        logEvent(LogLevel::Info, "entries_from_peer", { { "entries", state.entries_.size() } });
-        nodesKnown_ = true;
-        publish(nullptr);
-    }
-}
-
-auto SidecarProcess::stateFor(std::uint64_t knownVersion) const -> StateFrame
+auto SidecarProcess::onLinkLost(const std::string& node, bool wasOpen) -> void
 {
-    StateFrame state;
-    if (configuration_ && knownVersion < version()) {
-        state.configText_ = configuration_->text();
+    directory_.onUnreachable(node);
+    const auto* entry = directory_.find(node);
+    if (wasOpen && entry != nullptr && entry->accepting_ && !stopping_) {
+        links_.connect(*entry);
     }
-    state.entries_ = directory_.entries();
-    return state;
 }
 
 auto SidecarProcess::isReady() const -> bool
 {
-    return configuration_ && nodesKnown_ && !stopping_;
+    return knowledge_->configuration() && knowledge_->areNodesKnown() && !stopping_;
 }
 
 auto SidecarProcess::onReadinessRequest(
@@ -532,7 +389,7 @@
 {
     if (std::exchange(accepting_, false)) {
         gate_.stopAdmitting();
-        publish(nullptr);
+        knowledge_->stopAccepting();
     }
 }
 
@@ -600,7 +457,9 @@
     set("wagtailhead_store_calls", "Calls to the store since the start.",
         store.reads_ + store.watches_ + store.writes_);
     set("wagtailhead_store_failures", "Calls to the store that failed since the start.", store.failures_);
-    set("wagtailhead_config_version", "Version of the configuration in force.", version());
+    set("wagtailhead_config_version", "Version of the configuration in force.", knowledge_->version());
+    set("wagtailhead_store_watching", "1 if this node watches the store for its zone.",
+        knowledge_->isWatching() ? 1 : 0);
 }
 
 auto SidecarProcess::callsMade() const -> CallsMade
@@ -644,6 +503,7 @@
         readiness_->tick(now);
         reportServer_->tick(now);
         store_->tick(now);
+        knowledge_->tick(now);
     }
     if (ticks_ % judgeTicks == 0) {
         gate_.judgeOrigins();
--- /dev/null
+++ b/src/libsidecar/site_knowledge.cpp
@@ -0,0 +1,340 @@
+#include "site_knowledge.h"
+
+#include "wagtailhead/log.h"
+
+#include <algorithm>
+#include <set>
+
+namespace wagtailhead {
+
+namespace {
+
+/// A node behind in configuration asks a peer at most this often.
+constexpr Duration stateRequestInterval = milliseconds(300);
+/// How long changes are collected before the store is watched again. Nodes also tell each other about
+/// changed entries.
+constexpr Duration configurationBatch = milliseconds(200);
+constexpr Duration nodeBatch = seconds(3);
+/// When all nodes start at once, each has published its entry after this time, most with the first report of
+/// its backend server.
+constexpr Duration firstListDelay = milliseconds(2200);
+constexpr Duration roleCheckInterval = milliseconds(500);
+
+} // namespace
+
+SiteKnowledge::SiteKnowledge(SiteKnowledgeOptions options, SiteKnowledgeParts parts)
+    : options_(std::move(options))
+    , parts_(std::move(parts))
+    , publisher_(std::make_shared<EntryPublisher>(parts_.context_, parts_.store_))
+{
+    configurationWatch_ = std::make_shared<KindWatch>(parts_.context_, parts_.store_,
+        parts_.platform_.configurationKind_, configurationBatch, options_.seed_,
+        KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
+                             for (const auto& object : objects) {
+                                 onConfigurationObject(object);
+                             }
+                         },
+            [this](const StoredChange& change) {
+                if (!change.deleted_) {
+                    onConfigurationObject(change.object_);
+                }
+            },
+            nullptr });
+    nodeWatch_
+        = std::make_shared<KindWatch>(parts_.context_, parts_.store_, nodeKind, nodeBatch, options_.seed_ + 1,
+            KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
+                                 onNodeList(objects);
+                             },
+                [this](const StoredChange& change) {
+                    onNodeChange(change);
+                },
+                nullptr });
+}
+
+auto SiteKnowledge::start() -> void
+{
+    const auto delay = options_.firstStart_ ? firstListDelay : Duration::zero();
+    configurationWatch_->start(delay);
+    nodeWatch_->start(delay);
+}
+
+auto SiteKnowledge::onConfigurationObject(const StoredObject& object) -> void
+{
+    if (object.name_ == parts_.platform_.configurationName_) {
+        adopt(object.value_, "store");
+    }
+}
+
+auto SiteKnowledge::adopt(const std::string& text, const char* source) -> void
+{
+    auto decoded = parts_.platform_.decodeConfiguration_(text);
+    if (!isOk(decoded)) {
+        logEvent(LogLevel::Error, "configuration_refused",
+            { { "source", source }, { "error", errorOf(decoded).text_ } });
+        return;
+    }
+    const auto& configuration = valueOf(decoded);
+    if (configuration->version() <= version()) {
+        return;
+    }
+    logEvent(LogLevel::Info, "configuration_adopted",
+        { { "source", source }, { "version", configuration->version() }, { "before", version() },
+            { "routes", configuration->routes().size() } });
+    configuration_ = configuration;
+    configurationWatch_->skipList();
+    parts_.onConfiguration_(*configuration);
+    parts_.broadcast_(beat());
+    if (watching_) {
+        tellZone(beat(), "");
+    }
+}
+
+auto SiteKnowledge::onNodeList(const std::vector<StoredObject>& objects) -> void
+{
+    std::set<std::string> names;
+    for (const auto& object : objects) {
+        applyObject(object);
+        names.insert(object.name_);
+    }
+    for (const auto& entry : parts_.directory_.entries()) {
+        if (entry.node_ != options_.self_.node_ && names.count(entry.node_) == 0) {
+            parts_.directory_.remove(entry.node_);
+        }
+    }
+    if (names.count(options_.self_.node_) == 0) {
+        publisher_->onMissing();
+    }
+    nodesKnown_ = true;
+    publish(nullptr);
+}
+
+auto SiteKnowledge::onNodeChange(const StoredChange& change) -> void
+{
+    if (!change.deleted_) {
+        applyObject(change.object_);
+    } else if (change.object_.name_ != options_.self_.node_) {
+        parts_.directory_.remove(change.object_.name_);
+    } else {
+        publisher_->onMissing();
+        publish(nullptr);
+    }
+}
+
+auto SiteKnowledge::applyObject(const StoredObject& object) -> void
+{
+    const auto entry = parseEntry(object.name_, object.value_);
+    if (!isOk(entry)) {
+        logEvent(LogLevel::Warning, "entry_refused", { { "error", errorOf(entry).text_ } });
+        return;
+    }
+    if (object.name_ == options_.self_.node_) {
+        publisher_->onSeen(object);
+        onOwnEntry(valueOf(entry));
+        return;
+    }
+    onEntry(valueOf(entry));
+}
+
+auto SiteKnowledge::onEntry(const NodeEntry& entry) -> void
+{
+    if (entry.node_ == options_.self_.node_) {
+        onOwnEntry(entry);
+        return;
+    }
+    if (!parts_.directory_.apply(entry)) {
+        return;
+    }
+    logEvent(LogLevel::Info, "node_changed",
+        { { "node", entry.node_ }, { "service", entry.service_ }, { "phase", backendPhaseName(entry.phase_) },
+            { "accepting", static_cast<int>(entry.accepting_) }, { "backend", entry.backendId_ },
+            { "generation", entry.generation_ } });
+    if (watching_) {
+        tellZone(EntryFrame { entry }, entry.node_);
+    }
+}
+
+auto SiteKnowledge::onOwnEntry(const NodeEntry& entry) -> void
+{
+    if (!nodesKnown_) {
+        generation_ = std::max(generation_, entry.generation_);
+        parts_.reports_.restore(entry);
+        parts_.onRestored_();
+        return;
+    }
+    // The others hold an entry of an earlier process that they take for newer, as after a step of the clock.
+    const auto* published = parts_.directory_.find(options_.self_.node_);
+    const bool newer = published == nullptr || entry.generation_ > published->generation_;
+    generation_ = std::max(generation_, entry.generation_);
+    if (newer && published_) {
+        publish(nullptr);
+    }
+}
+
+auto SiteKnowledge::ownEntry() const -> NodeEntry
+{
+    const auto& belief = parts_.reports_.belief();
+    auto entry = options_.self_;
+    entry.capacity_ = belief.capacity_;
+    entry.backendId_ = belief.id_;
+    entry.backendBornMs_ = belief.bornMs_;
+    entry.phase_ = belief.phase_;
+    if (belief.phase_ == BackendPhase::Unknown && !belief.id_.empty()) {
+        entry.phase_ = BackendPhase::Ready; // As published before; its next report is due soon.
+    }
+    entry.accepting_ = accepting_;
+    return entry;
+}
+
+auto SiteKnowledge::publish(std::function<void()> onWritten) -> void
+{
+    auto entry = ownEntry();
+    if (entry.backendId_.empty()) {
+        return; // Of no use to others yet; the first report of the backend server is due soon.
+    }
+    const auto* before = parts_.directory_.find(options_.self_.node_);
+    const auto known = before == nullptr ? 0 : before->generation_;
+    entry.generation_ = known;
+    if (before == nullptr || !(entry == *before) || generation_ > known) {
+        generation_ = std::max({ generation_ + 1, known + 1, options_.incarnation_ });
+        entry.generation_ = generation_;
+        parts_.directory_.apply(entry);
+        announce(entry);
+    }
+    published_ = true;
+    if (nodesKnown_ || options_.firstStart_) {
+        entry.accepting_ = true; // The next process accepts again, and is told apart by its generation.
+        publisher_->publish(entry, std::move(onWritten));
+    }
+}
+
+auto SiteKnowledge::stopAccepting() -> void
+{
+    accepting_ = false;
+    publish(nullptr);
+}
+
+auto SiteKnowledge::announce(const NodeEntry& entry) -> void
+{
+    parts_.broadcast_(EntryFrame { entry });
+    const auto nodes = reachableNodes();
+    std::set<std::string> zones;
+    for (const auto& node : nodes) {
+        zones.insert(node.zone_);
+    }
+    for (const auto& zone : zones) {
+        for (const auto& watcher : storeWatchersOf(nodes, zone, watchersPerZone)) {
+            if (watcher.node_ != options_.self_.node_) {
+                parts_.links_.tell(watcher, EntryFrame { entry });
+            }
+        }
+    }
+}
+
+auto SiteKnowledge::tellZone(const Frame& frame, const std::string& exceptNode) -> void
+{
+    for (const auto& entry : reachableNodes()) {
+        if (entry.zone_ == options_.self_.zone_ && entry.node_ != options_.self_.node_
+            && entry.node_ != exceptNode) {
+            parts_.links_.tell(entry, frame);
+        }
+    }
+}
+
+auto SiteKnowledge::reachableNodes() const -> std::vector<NodeEntry>
+{
+    auto nodes = parts_.directory_.reachable();
+    std::erase_if(nodes, [](const NodeEntry& entry) {
+        return !entry.accepting_;
+    });
+    return nodes;
+}
+
+auto SiteKnowledge::onPeerVersion(const std::string& node, std::uint64_t peerVersion) -> void
+{
+    const auto now = Clock::now();
+    if (peerVersion <= version() || now < nextStateRequest_) {
+        return;
+    }
+    nextStateRequest_ = now + stateRequestInterval;
+    if (const auto* entry = parts_.directory_.find(node)) {
+        parts_.links_.requestState(*entry, version());
+    }
+}
+
+auto SiteKnowledge::onBeat(const std::string& node, const BeatFrame& beat) -> void
+{
+    onPeerVersion(node, beat.configVersion_);
+    const auto* entry = parts_.directory_.find(node);
+    if (roles_ && beat.watching_ && entry != nullptr && entry->zone_ == options_.self_.zone_) {
+        roles_->onBeat(node, beat.storeReachable_, Clock::now());
+    }
+}
+
+auto SiteKnowledge::onState(const StateFrame& state) -> void
+{
+    if (!state.configText_.empty()) {
+        adopt(state.configText_, "peer");
+    }
+    for (const auto& entry : state.entries_) {
+        onEntry(entry);
+    }
+    if (!nodesKnown_ && parts_.directory_.size() > 0) {
+        logEvent(LogLevel::Info, "entries_from_peer", { { "entries", state.entries_.size() } });
+        nodesKnown_ = true;
+        nodeWatch_->skipList();
+        publish(nullptr);
+    }
+}
+
+auto SiteKnowledge::stateFor(std::uint64_t knownVersion) const -> StateFrame
+{
+    StateFrame state;
+    if (configuration_ && knownVersion < version()) {
+        state.configText_ = configuration_->text();
+    }
+    state.entries_ = parts_.directory_.entries();
+    return state;
+}
+
+auto SiteKnowledge::beat() const -> BeatFrame
+{
+    return { version(), watching_, configurationWatch_->isReachable() };
+}
+
+auto SiteKnowledge::updateRole(TimePoint now) -> void
+{
+    auto nodes = reachableNodes();
+    if (std::none_of(nodes.begin(), nodes.end(), [&](const NodeEntry& entry) {
+            return entry.node_ == options_.self_.node_;
+        })) {
+        nodes.push_back(options_.self_);
+    }
+    const bool watch = roles_->shouldWatch(nodes, now);
+    if (watch != watching_) {
+        watching_ = watch;
+        logEvent(LogLevel::Info, "store_watch",
+            { { "watching", static_cast<int>(watch) }, { "nodes", nodes.size() } });
+        configurationWatch_->setWatching(watch);
+        nodeWatch_->setWatching(watch);
+    }
+}
+
+auto SiteKnowledge::tick(TimePoint now) -> void
+{
+    if (!nodesKnown_) {
+        return;
+    }
+    if (!roles_) {
+        roles_.emplace(options_.self_.node_, options_.self_.zone_, now);
+    }
+    if (now >= nextRoleCheck_) {
+        nextRoleCheck_ = now + roleCheckInterval;
+        updateRole(now);
+    }
+    if (watching_ && now >= nextBeat_) {
+        nextBeat_ = now + watchBeatInterval;
+        tellZone(beat(), "");
+    }
+}
+
+} // namespace wagtailhead
--- a/src/libsidecar/store_sync_test.cpp
+++ b/src/libsidecar/store_sync_test.cpp
@@ -157,7 +157,8 @@
                 seen.push_back("change " + change.object_.name_);
             },
             nullptr });
-    watch->start();
+    watch->start({});
+    watch->setWatching(true);
     run(context, milliseconds(20));
     cr_assert(store.watchedFrom_ == 10);
     store.endWatch(StoredChanges { { { { "main", 12, "{}" }, false } }, 12 });
@@ -174,7 +175,8 @@
     MemoryStore store(context);
     auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
         KindWatchEvents { [](const std::vector<StoredObject>&) {}, [](const StoredChange&) {}, nullptr });
-    watch->start();
+    watch->start({});
+    watch->setWatching(true);
     run(context, milliseconds(20));
     store.endWatch(StoreError::HistoryGone);
     run(context, milliseconds(300));
@@ -193,7 +195,8 @@
             [&](bool now) {
                 reachable.push_back(now);
             } });
-    watch->start();
+    watch->start({});
+    watch->setWatching(true);
     run(context, seconds(3));
     cr_assert(store.lists_ >= 3 && store.lists_ <= 8, "%d calls in 3 s", store.lists_);
     store.errors_.clear();
@@ -202,6 +205,65 @@
     watch->stop();
 }
 
+Test(kind_watch, only_lists_unless_told_to_watch)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
+        KindWatchEvents { [](const std::vector<StoredObject>&) {}, [](const StoredChange&) {}, nullptr });
+    watch->start(milliseconds(30));
+    run(context, milliseconds(20));
+    cr_assert(store.lists_ == 0, "listed before the delay");
+    run(context, milliseconds(40));
+    cr_assert(store.lists_ == 1 && !store.watch_);
+    store.revision_ = 20;
+    watch->setWatching(true);
+    run(context, milliseconds(10));
+    cr_assert(store.watch_ && store.watchedFrom_ == 10, "what happened since the list is seen");
+    watch->setWatching(false);
+    store.endWatch(StoredChanges { {}, 21 });
+    run(context, milliseconds(50));
+    cr_assert(!store.watch_, "the watch goes on");
+    watch->stop();
+}
+
+Test(kind_watch, does_not_list_what_is_known_from_elsewhere)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    store.errors_.assign(100, StoreError::Refused);
+    auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
+        KindWatchEvents { [](const std::vector<StoredObject>&) {}, [](const StoredChange&) {}, nullptr });
+    watch->start({});
+    run(context, milliseconds(50));
+    watch->skipList();
+    const int calls = store.lists_;
+    run(context, milliseconds(1500));
+    cr_assert(store.lists_ == calls);
+    store.errors_.clear();
+    watch->setWatching(true);
+    run(context, milliseconds(50));
+    cr_assert(store.lists_ == calls + 1, "a watch starts from a list");
+    watch->stop();
+}
+
+Test(entry_publisher, a_new_generation_alone_is_not_written)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    auto publisher = std::make_shared<EntryPublisher>(context, store);
+    publisher->publish(entryOf(1), nullptr);
+    run(context, milliseconds(20));
+    publisher->publish(entryOf(2), nullptr);
+    run(context, milliseconds(20));
+    cr_assert(store.writes_ == 1);
+    auto changed = entryOf(3);
+    changed.phase_ = BackendPhase::Draining;
+    publisher->publish(changed, nullptr);
+    run(context, milliseconds(20));
+    cr_assert(store.writes_ == 2);
+}
+
 Test(entry_publisher, finds_its_own_write_whose_answer_was_lost)
 {
     asio::io_context context;
@@ -224,7 +286,9 @@
     auto publisher = std::make_shared<EntryPublisher>(context, store);
     int written = 0;
     for (std::uint64_t generation = 1; generation <= 3; ++generation) {
-        publisher->publish(entryOf(generation), [&] {
+        auto entry = entryOf(generation);
+        entry.capacity_ = static_cast<int>(generation);
+        publisher->publish(entry, [&] {
             ++written;
         });
     }
