feat(sidecar): lines for each decision about a request; logs that never block

Cause: a failed request left one line at its caller's node, without what decided where it went or why it was not repeated, and nothing at the gate. Logs were written line by line to standard error; a reader that stopped would have stopped the node. Change: request_ended and attempt_ended (node picked, its load and level and their age, outcome, why there was no repeat) at the caller's node, gate_refused and gate_ended beside the backend server, level_changed, backend_suspected and backend_trusted; up to 40 and 20 lines a second a process, the rest counted in event=load; one ordinary request in 1,024 by a hash of its id, the same on all nodes. Lines carry the node, go to standard output, and are written only as fast as their reader takes them, with the number left out. caller_entry.cpp is split: one request (caller_operation), refusals at the root (root_shedding), repeats (retry_budgets), log lines (request_log).

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -74,6 +74,15 @@
     std::uint64_t seed_ = 0;
 };
 
+/// A node for an attempt, with what decided.
+struct PickedNode {
+    NodeEntry entry_;
+    double used_ = 0; ///< Share of the backend server's slots in use, as it was known.
+    double level_ = 0;
+    Duration loadAge_ {}; ///< Since the node has told its load last.
+    std::size_t candidates_ = 0; ///< Nodes of the service that take requests.
+};
+
 /// Knows all nodes and what this node has measured about them. Not thread safe.
 class Directory {
 public:
@@ -95,7 +104,7 @@
     /// Picks the node for the next attempt, or nothing. Prefers the own zone, then the own region, by the
     /// share of the backend server's capacity in use and by its time against the latency objective `goal`.
     auto pick(std::string_view service, Duration goal, const std::vector<std::string>& tried, TimePoint now)
-        -> std::optional<NodeEntry>;
+        -> std::optional<PickedNode>;
 
     /// Returns the level of a service as it counts here: the lowest mean level of a region's nodes, each by
     /// the requests that it can do, since requests go to another region before they are refused. The age is
@@ -139,6 +148,7 @@
         int failures_ = 0; ///< In a row.
         double failureShare_ = 0; ///< Moving share of failed requests.
         TimePoint avoidUntil_;
+        bool suspected_ = false; ///< The failures have been logged.
         bool unreachable_ = false;
     };
 
@@ -147,6 +157,7 @@
     auto nodesOf(std::string_view service) const -> const std::vector<Known*>&;
     auto indexServices() -> void;
     static auto rateOf(const Known& known) -> double;
+    static auto usedShare(const Known& known) -> double;
     auto score(const Known& known, Duration goal, TimePoint now) -> double;
 
     DirectoryOptions options_;
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -123,15 +123,11 @@
     CallerEntry entry_ { { .node_ = "self",
                              .service_ = "shop",
                              .headers_ = testHeaderNames(),
-                             .ranPart_ = 1,
-                             .rejectedPart_ = 1,
-                             .retryShare_ = 1,
-                             .retryBurst_ = 10 },
-        { directory_, links_, gate_,
-            [this] {
-                return configuration_;
-            } },
-        1 };
+                             .retries_ = { .ranPart_ = 1, .rejectedPart_ = 1, .share_ = 1, .burst_ = 10 },
+                             .seed_ = 1 },
+        { directory_, links_, gate_, [this] {
+             return configuration_;
+         } } };
     std::uint16_t port_ = 0;
     std::shared_ptr<http1::Listener> listener_;
     asio::ip::tcp::socket client_ { context_ };
--- /dev/null
+++ b/src/libsidecar/caller_operation.cpp
@@ -0,0 +1,402 @@
+#include "caller_operation.h"
+
+#include <charconv>
+
+namespace wagtailhead {
+
+namespace {
+
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusServerError = 500;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+/// Without this much time left another attempt cannot succeed.
+constexpr Duration leastAttemptTime = milliseconds(20);
+/// How long a node may take to say whether an attempt has started.
+constexpr Duration fenceTimeout = milliseconds(800);
+/// Most nodes that are asked for one request when each has no room.
+constexpr std::size_t mostRefusals = 3;
+constexpr Duration assumedCallerTime = seconds(30);
+
+auto parseMilliseconds(std::string_view text) -> std::optional<Duration>
+{
+    std::int64_t value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    constexpr std::int64_t most = 86400000;
+    if (result.ec != std::errc {} || result.ptr != text.data() + text.size() || value < 0 || value > most) {
+        return std::nullopt;
+    }
+    return milliseconds(value);
+}
+
+} // namespace
+
+CallerOperation::CallerOperation(
+    const CallerShared& shared, http1::Request request, std::shared_ptr<http1::Exchange> exchange)
+    : shared_(shared)
+    , request_(std::move(request))
+    , exchange_(std::move(exchange))
+{
+}
+
+auto CallerOperation::start() -> void
+{
+    ++shared_.stats_.requests_;
+    if (!prepare()) {
+        return;
+    }
+    exchange_->onGone([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onGone();
+        }
+    });
+    trace_.level_ = shared_.directory_.level(trace_.service_, Clock::now());
+    if (shared_.shedding_.shouldRefuse(*configuration_, *route_, trace_.level_.level_)) {
+        ++shared_.stats_.shed_;
+        refuse("shed");
+        return;
+    }
+    shared_.budgets_.onFirstTry(trace_.service_);
+    attempt();
+}
+
+auto CallerOperation::prepare() -> bool
+{
+    configuration_ = shared_.configuration_();
+    const auto& headers = request_.headers_;
+    trace_.attemptId_ = headers.find(shared_.headers_.attemptId_);
+    const auto remaining = parseMilliseconds(headers.find(shared_.headers_.remainingMs_));
+    trace_.timeLeft_ = remaining.value_or(assumedCallerTime);
+    if (!configuration_) {
+        refuse("no-configuration");
+        return false;
+    }
+    trace_.configVersion_ = configuration_->version();
+    route_ = configuration_->match(headers.find("Host"), request_.target_);
+    if (route_ == nullptr) {
+        ++shared_.stats_.noRoute_;
+        fail(statusNotFound, "no-route");
+        return false;
+    }
+    if (trace_.attemptId_.empty()) {
+        fail(statusBadRequest, "no-attempt-id");
+        return false;
+    }
+    trace_.route_ = route_->name_;
+    trace_.rank_ = route_->rank_;
+    trace_.timeLeft_ = std::min(trace_.timeLeft_, route_->timeout_);
+    trace_.service_ = shared_.chooseDestination_(*route_);
+    deadline_ = arrived_ + trace_.timeLeft_;
+    request_.headers_.removeHopByHop();
+    request_.headers_.remove(shared_.headers_.remainingMs_);
+    request_.headers_.remove(shared_.headers_.callerService_);
+    request_.headers_.remove(shared_.headers_.targetInstance_);
+    return true;
+}
+
+auto CallerOperation::gateCall() const -> GateCall
+{
+    GateCall call;
+    call.attemptId_ = trace_.attemptId_;
+    call.route_ = route_->name_;
+    call.service_ = trace_.service_;
+    call.callerService_ = shared_.service_;
+    call.callerNode_ = shared_.node_;
+    call.method_ = request_.method_;
+    call.target_ = request_.target_;
+    call.headers_ = request_.headers_;
+    call.body_ = request_.body_;
+    call.idempotent_ = route_->idempotent_;
+    call.rank_ = route_->rank_;
+    call.goal_ = route_->goal_;
+    call.deadline_ = deadline_;
+    return call;
+}
+
+auto CallerOperation::attempt() -> void
+{
+    if (deadline_ - bootNow() < leastAttemptTime) {
+        giveUp("no-time");
+        return;
+    }
+    auto picked = shared_.directory_.pick(trace_.service_, route_->goal_, tried_, Clock::now());
+    if (!picked) {
+        giveUp("no-backend");
+        return;
+    }
+    current_ = picked->entry_;
+    tried_.push_back(current_->node_);
+    AttemptTrace trace;
+    trace.picked_ = std::move(*picked);
+    trace.sent_ = bootNow();
+    trace_.attempts_.push_back(std::move(trace));
+    shared_.directory_.started(current_->node_);
+    ticket_ = 0;
+    linkCall_ = 0;
+    const auto self = shared_from_this();
+    if (current_->node_ == shared_.node_) {
+        const auto ticket = shared_.gate_.submit(gateCall(), [self](GateReply reply) {
+            self->onReply(std::move(reply));
+        });
+        if (current_ && current_->node_ == shared_.node_ && linkCall_ == 0) {
+            ticket_ = ticket;
+        }
+        return;
+    }
+    linkCall_ = shared_.links_.call(*current_, gateCall(), [self](LinkResult result) {
+        self->onLinkResult(std::move(result));
+    });
+}
+
+auto CallerOperation::endAttempt(const char* outcome, GateReason reason, bool arrived) -> void
+{
+    auto& trace = trace_.attempts_.back();
+    trace.time_ = bootNow() - trace.sent_;
+    trace.outcome_ = outcome;
+    trace.reason_ = gateReasonName(reason);
+    trace.arrived_ = arrived;
+    trace.next_ = "end";
+    arrivals_ += arrived ? 1 : 0;
+    if (current_) {
+        shared_.directory_.ended(current_->node_);
+        current_.reset();
+    }
+}
+
+auto CallerOperation::onLinkResult(LinkResult result) -> void
+{
+    if (auto* reply = std::get_if<GateReply>(&result.value_)) {
+        onReply(std::move(*reply));
+        return;
+    }
+    if (ended_ || !current_) {
+        return;
+    }
+    shared_.directory_.onUnreachable(current_->node_);
+    if (std::get<LinkFailure>(result.value_) == LinkFailure::NotSent) {
+        GateReply reply;
+        reply.outcome_ = GateOutcome::NotRun;
+        reply.reason_ = GateReason::Unavailable;
+        onNotRun(reply);
+    } else if (!route_->idempotent_) {
+        fence(result.incarnation_);
+    } else {
+        onUnknown(GateReason::Lost);
+    }
+}
+
+auto CallerOperation::fence(std::uint64_t incarnation) -> void
+{
+    const auto node = *current_;
+    shared_.directory_.ended(node.node_);
+    current_.reset();
+    const auto timeout = std::min<Duration>(fenceTimeout, std::max(deadline_ - bootNow(), Duration::zero()));
+    // Until the answer comes the attempt may run.
+    mayHaveRun_ = true;
+    shared_.links_.fence(
+        node, incarnation, trace_.attemptId_, timeout, [self = shared_from_this()](bool neverRuns) {
+            if (self->ended_) {
+                return;
+            }
+            if (neverRuns) {
+                self->mayHaveRun_ = false;
+                GateReply reply;
+                reply.outcome_ = GateOutcome::NotRun;
+                reply.reason_ = GateReason::Unavailable;
+                self->onNotRun(reply);
+            } else {
+                self->onUnknown(GateReason::Lost);
+            }
+        });
+}
+
+auto CallerOperation::onReply(GateReply reply) -> void
+{
+    if (ended_ || !current_) {
+        return;
+    }
+    const auto now = Clock::now();
+    const auto node = current_->node_;
+    auto& directory = shared_.directory_;
+    directory.onLoad(node, reply.load_, now);
+    shared_.shedding_.onReply(trace_.service_, *route_, reply.fromBackend_, now);
+    switch (reply.outcome_) {
+    case GateOutcome::Answered:
+        onAnswered(std::move(reply));
+        return;
+    case GateOutcome::NotRun:
+        if (reply.arrived_) {
+            directory.onFailure(node, now);
+        } else if (reply.reason_ != GateReason::Busy && reply.reason_ != GateReason::Expired) {
+            directory.onUnavailable(node, now);
+        }
+        onNotRun(reply);
+        return;
+    case GateOutcome::Unknown:
+        directory.onFailure(node, now);
+        onUnknown(reply.reason_);
+        return;
+    }
+}
+
+auto CallerOperation::repeatVerdict(bool ran) -> const char*
+{
+    if (arrivals_ >= route_->maxAttempts_) {
+        return "max-attempts";
+    }
+    if (deadline_ - bootNow() <= leastAttemptTime) {
+        return "no-time";
+    }
+    return repeatVerdictName(shared_.budgets_.take(trace_.service_, ran, Clock::now()));
+}
+
+auto CallerOperation::mayRepeat(bool ran) -> bool
+{
+    auto& next = trace_.attempts_.back().next_;
+    next = repeatVerdict(ran);
+    return next == repeatVerdictName(RepeatVerdict::Granted);
+}
+
+auto CallerOperation::onAnswered(GateReply reply) -> void
+{
+    const auto node = current_->node_;
+    endAttempt("answered", GateReason::None, true);
+    mayHaveRun_ = true;
+    const bool failed = reply.response_.status_ >= statusServerError;
+    if (failed) {
+        shared_.directory_.onFailure(node, Clock::now());
+    } else {
+        shared_.directory_.onSuccess(node);
+    }
+    const bool timedOut = reply.response_.status_ == statusGatewayTimeout;
+    if (failed && !timedOut && route_->idempotent_ && mayRepeat(true)) {
+        ++shared_.stats_.retries_;
+        lastAnswer_ = std::move(reply.response_);
+        attempt();
+        return;
+    }
+    respond(std::move(reply.response_), RequestOutcome::Answered, failed ? "backend-failed" : "");
+}
+
+auto CallerOperation::onNotRun(const GateReply& reply) -> void
+{
+    endAttempt("not-run", reply.reason_, reply.arrived_);
+    const auto* reason = gateReasonName(reply.reason_);
+    if (reply.reason_ == GateReason::Expired) {
+        giveUp(reason);
+        return;
+    }
+    if (tried_.size() >= mostRefusals) {
+        trace_.attempts_.back().next_ = "enough-refusals";
+        giveUp(reason);
+        return;
+    }
+    if (reply.arrived_ && !mayRepeat(false)) {
+        giveUp(reason);
+        return;
+    }
+    trace_.attempts_.back().next_ = "repeat";
+    attempt();
+}
+
+auto CallerOperation::onUnknown(GateReason reason) -> void
+{
+    endAttempt("unknown", reason, true);
+    mayHaveRun_ = true;
+    if (route_->idempotent_ && reason != GateReason::Timeout && mayRepeat(true)) {
+        ++shared_.stats_.retries_;
+        attempt();
+        return;
+    }
+    if (!route_->idempotent_) {
+        trace_.attempts_.back().next_ = "may-have-run";
+    }
+    fail(reason == GateReason::Timeout ? statusGatewayTimeout : statusBadGateway, gateReasonName(reason));
+}
+
+auto CallerOperation::onDeadline() -> void
+{
+    if (ended_) {
+        return;
+    }
+    // What has been handed to a gate may run until the gate says otherwise.
+    mayHaveRun_ = mayHaveRun_ || current_.has_value();
+    stopAttempt();
+    fail(statusGatewayTimeout, "timeout");
+}
+
+auto CallerOperation::giveUp(const char* reason) -> void
+{
+    if (lastAnswer_) {
+        respond(std::move(*lastAnswer_), RequestOutcome::Answered, "backend-failed");
+    } else if (mayHaveRun_) {
+        fail(statusBadGateway, reason);
+    } else {
+        refuse(reason);
+    }
+}
+
+auto CallerOperation::refuse(const char* reason) -> void
+{
+    ++shared_.stats_.refused_;
+    const int ranksBelow = route_ == nullptr ? 0 : configuration_->ranksBelow(route_->rank_);
+    const auto pause = shared_.shedding_.comeBackAfter(trace_.level_.level_, ranksBelow);
+    http1::Response response;
+    response.status_ = statusUnavailable;
+    response.headers_.add("Retry-After", std::to_string(std::chrono::duration<double>(pause).count()));
+    respond(std::move(response), RequestOutcome::Refused, reason);
+}
+
+auto CallerOperation::fail(int status, const char* reason) -> void
+{
+    ++shared_.stats_.failed_;
+    http1::Response response;
+    response.status_ = status;
+    respond(std::move(response), RequestOutcome::Failed, reason);
+}
+
+auto CallerOperation::respond(http1::Response response, RequestOutcome outcome, const char* reason) -> void
+{
+    ++shared_.stats_.answered_;
+    const auto self = shared_from_this();
+    end(outcome, response.status_, reason);
+    exchange_->respond(std::move(response));
+}
+
+auto CallerOperation::stopAttempt() -> void
+{
+    if (!current_) {
+        return;
+    }
+    endAttempt("abandoned", GateReason::None, true);
+    if (ticket_ != 0) {
+        shared_.gate_.cancel(ticket_);
+    } else if (linkCall_ != 0) {
+        shared_.links_.cancel(linkCall_);
+    }
+}
+
+auto CallerOperation::onGone() -> void
+{
+    if (ended_) {
+        return;
+    }
+    ++shared_.stats_.cancelled_;
+    const auto self = shared_from_this();
+    stopAttempt();
+    end(RequestOutcome::Cancelled, 0, "caller-gone");
+}
+
+auto CallerOperation::end(RequestOutcome outcome, int status, const char* reason) -> void
+{
+    ended_ = true;
+    request_ = {};
+    trace_.time_ = bootNow() - arrived_;
+    shared_.log_.onEnd(trace_, outcome, status, reason, Clock::now());
+    shared_.onEnded_(shared_from_this());
+}
+
+} // namespace wagtailhead
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -1,7 +1,11 @@
 #include "wagtailhead/directory.h"
 
+#include "wagtailhead/log.h"
+
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <utility>
 
 namespace wagtailhead {
 
@@ -28,6 +32,8 @@
 constexpr double jitter = 0.05;
 /// A backend server with this share of failed requests counts as fully loaded twice over.
 constexpr double failurePenalty = 2.0;
+constexpr double suspectedShare = 0.5; ///< From here on it is called suspected in the log,
+constexpr double trustedShare = 0.2; ///< and from here on trusted again.
 constexpr double failureWeight = 0.1; ///< Of the newest request in the moving share.
 /// How long a node is avoided after its first failure to take a request; doubles up to the limit.
 constexpr Duration avoidFirst = milliseconds(200);
@@ -79,6 +85,7 @@
         if (newBackend) {
             known.failures_ = 0;
             known.failureShare_ = 0;
+            known.suspected_ = false;
             known.avoidUntil_ = {};
             known.unreachable_ = false;
         }
@@ -192,13 +199,17 @@
     return limit / std::chrono::duration<double>(time).count();
 }
 
-auto Directory::score(const Known& known, Duration goal, TimePoint now) -> double
+auto Directory::usedShare(const Known& known) -> double
 {
     const double capacity
         = std::max(known.entry_.capacity_ > 0 ? known.entry_.capacity_ : assumedCapacity, 1);
     const int sinceReport = known.inFlight_ - known.inFlightAtReport_;
-    const int load = std::max(known.load_.running_ + known.load_.queued_ + sinceReport, known.inFlight_);
-    const double used = load / capacity;
+    return std::max(known.load_.running_ + known.load_.queued_ + sinceReport, known.inFlight_) / capacity;
+}
+
+auto Directory::score(const Known& known, Duration goal, TimePoint now) -> double
+{
+    const double used = usedShare(known);
     double score = used * used * used * used;
     if (known.entry_.region_ != options_.region_) {
         score += otherRegionPenalty;
@@ -214,14 +225,16 @@
 }
 
 auto Directory::pick(std::string_view service, Duration goal, const std::vector<std::string>& tried,
-    TimePoint now) -> std::optional<NodeEntry>
+    TimePoint now) -> std::optional<PickedNode>
 {
     const Known* best = nullptr;
     double bestScore = 0;
+    std::size_t candidates = 0;
     for (const auto* known : nodesOf(service)) {
         if (!isUsable(*known) || std::find(tried.begin(), tried.end(), known->entry_.node_) != tried.end()) {
             continue;
         }
+        ++candidates;
         constexpr double avoided = 100;
         const double value
             = score(*known, goal, now) + (known->unreachable_ || now < known->avoidUntil_ ? avoided : 0);
@@ -230,7 +243,11 @@
             bestScore = value;
         }
     }
-    return best == nullptr ? std::nullopt : std::optional(best->entry_);
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return PickedNode { best->entry_, usedShare(*best), levelOf(*best, now).level_, now - best->loadTime_,
+        candidates };
 }
 
 auto Directory::started(const std::string& node) -> void
@@ -319,6 +336,11 @@
     if (found != nodes_.end()) {
         auto& share = found->second.failureShare_;
         share += (1 - share) * failureWeight;
+        if (share >= suspectedShare && !std::exchange(found->second.suspected_, true)) {
+            logEvent(LogLevel::Warning, "backend_suspected",
+                { { "peer", node }, { "backend", found->second.entry_.backendId_ },
+                    { "failure_share", share } });
+        }
     }
 }
 
@@ -328,7 +350,13 @@
     if (found != nodes_.end()) {
         found->second.failures_ = 0;
         found->second.avoidUntil_ = {};
-        found->second.failureShare_ *= 1 - failureWeight;
+        auto& share = found->second.failureShare_;
+        share *= 1 - failureWeight;
+        if (share <= trustedShare && std::exchange(found->second.suspected_, false)) {
+            logEvent(LogLevel::Info, "backend_trusted",
+                { { "peer", node }, { "backend", found->second.entry_.backendId_ },
+                    { "failure_share", share } });
+        }
     }
 }
 
--- a/src/libsidecar/directory_test.cpp
+++ b/src/libsidecar/directory_test.cpp
@@ -37,14 +37,14 @@
 Test(directory, prefers_near_nodes_until_they_are_loaded)
 {
     auto directory = threeNodes();
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "near");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "near");
     directory.onLoad("near", { .running_ = 5, .queued_ = 0, .limit_ = 10 }, start);
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "near");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "near");
     directory.onLoad("near", { .running_ = 9, .queued_ = 0, .limit_ = 10 }, start);
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "region");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "region");
     directory.onLoad("near", { .running_ = 10, .queued_ = 8, .limit_ = 10 }, start);
     directory.onLoad("region", { .running_ = 10, .queued_ = 8, .limit_ = 10 }, start);
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "far");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "far");
 }
 
 Test(directory, counts_requests_sent_since_the_last_report)
@@ -53,22 +53,22 @@
     for (int i = 0; i < 9; ++i) {
         directory.started("near");
     }
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "region");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "region");
     for (int i = 0; i < 9; ++i) {
         directory.ended("near");
     }
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "near");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "near");
 }
 
 Test(directory, skips_tried_leaving_and_stopping_nodes)
 {
     auto directory = threeNodes();
-    cr_assert(directory.pick("stock", goal, { "near" }, start)->node_ == "region");
+    cr_assert(directory.pick("stock", goal, { "near" }, start)->entry_.node_ == "region");
     auto leaving = node("region", "b", "r");
     leaving.phase_ = BackendPhase::Draining;
     leaving.generation_ = 2;
     directory.apply(leaving);
-    cr_assert(directory.pick("stock", goal, { "near" }, start)->node_ == "far");
+    cr_assert(directory.pick("stock", goal, { "near" }, start)->entry_.node_ == "far");
     auto stopping = node("far", "c", "q");
     stopping.accepting_ = false;
     stopping.generation_ = 2;
@@ -92,12 +92,12 @@
 {
     auto directory = threeNodes();
     directory.onUnavailable("near", start);
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "region");
-    cr_assert(directory.pick("stock", goal, {}, start + milliseconds(250))->node_ == "near");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "region");
+    cr_assert(directory.pick("stock", goal, {}, start + milliseconds(250))->entry_.node_ == "near");
     directory.onUnavailable("near", start + milliseconds(250));
-    cr_assert(directory.pick("stock", goal, {}, start + milliseconds(500))->node_ == "region");
+    cr_assert(directory.pick("stock", goal, {}, start + milliseconds(500))->entry_.node_ == "region");
     directory.onSuccess("near");
-    cr_assert(directory.pick("stock", goal, {}, start + milliseconds(500))->node_ == "near");
+    cr_assert(directory.pick("stock", goal, {}, start + milliseconds(500))->entry_.node_ == "near");
 }
 
 Test(directory, an_avoided_node_is_better_than_none)
@@ -105,7 +105,7 @@
     Directory directory({ "self", "a", "r", 1 });
     directory.apply(node("only", "a", "r"));
     directory.onUnavailable("only", start);
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "only");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "only");
 }
 
 Test(directory, a_failing_backend_server_gets_less_until_it_is_replaced)
@@ -114,22 +114,22 @@
     for (int i = 0; i < 20; ++i) {
         directory.onFailure("near", start);
     }
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "region");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "region");
     auto replaced = node("near", "a", "r");
     replaced.backendId_ = "i-2";
     replaced.generation_ = 2;
     directory.apply(replaced);
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "near");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "near");
 }
 
 Test(directory, an_unreachable_node_waits_for_its_link)
 {
     auto directory = threeNodes();
     directory.onUnreachable("near");
-    cr_assert(directory.pick("stock", goal, {}, start + std::chrono::minutes(1))->node_ == "region");
+    cr_assert(directory.pick("stock", goal, {}, start + std::chrono::minutes(1))->entry_.node_ == "region");
     cr_assert(directory.unreachable().size() == 1);
     directory.onReachable("near");
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "near");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "near");
     cr_assert(directory.unreachable().empty());
 }
 
@@ -140,12 +140,12 @@
         "near", { .running_ = 9, .queued_ = 0, .limit_ = 10, .serviceTime_ = {}, .level_ = 1.0 }, start);
     directory.onLoad(
         "region", { .running_ = 9, .queued_ = 0, .limit_ = 10, .serviceTime_ = {}, .level_ = 0.6 }, start);
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "far");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "far");
     cr_assert(std::abs(directory.level("stock", start).level_) < 1e-9, "of the other region");
     directory.onLoad(
         "far", { .running_ = 9, .queued_ = 0, .limit_ = 10, .serviceTime_ = {}, .level_ = 2.0 }, start);
     cr_assert(std::abs(directory.level("stock", start).level_ - 0.8) < 1e-9, "mean of the own region");
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "region");
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "region");
     cr_assert(directory.level("stock", start + seconds(5)).level_ == 0, "reports are forgotten");
     cr_assert(directory.level("files", start).level_ == 0);
 }
@@ -183,10 +183,11 @@
         "near", { .running_ = 1, .queued_ = 0, .limit_ = 10, .serviceTime_ = milliseconds(400) }, start);
     directory.onLoad(
         "region", { .running_ = 1, .queued_ = 0, .limit_ = 10, .serviceTime_ = milliseconds(20) }, start);
-    cr_assert(directory.pick("stock", goal, {}, start)->node_ == "region");
-    cr_assert(directory.pick("stock", seconds(10), {}, start)->node_ == "near",
+    cr_assert(directory.pick("stock", goal, {}, start)->entry_.node_ == "region");
+    cr_assert(directory.pick("stock", seconds(10), {}, start)->entry_.node_ == "near",
         "within the objective it is as good");
-    cr_assert(directory.pick("stock", goal, {}, start + seconds(3))->node_ == "near", "it is tried again");
+    cr_assert(
+        directory.pick("stock", goal, {}, start + seconds(3))->entry_.node_ == "near", "it is tried again");
     directory.remove("far");
     directory.onLoad("near",
         { .running_ = 10, .queued_ = 5, .limit_ = 10, .serviceTime_ = milliseconds(400), .level_ = 2.1 },
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace wagtailhead {
 
@@ -23,6 +24,14 @@
 /// The capacity that is assumed until a report names it.
 constexpr int assumedCapacity = 8;
 
+/// Lines about requests that were refused or failed here; the rest is counted.
+constexpr int logLinesPerSecond = 20;
+/// A level is logged when it has moved by this much, but not more often than this.
+constexpr double loggedLevelStep = 0.5;
+constexpr Duration levelLogInterval = seconds(1);
+
+constexpr std::array<const char*, 3> outcomeNames { "answered", "not-run", "unknown" };
+
 constexpr int statusMisdirected = 421;
 constexpr int statusOk = 200;
 constexpr int statusRedirect = 300;
@@ -55,6 +64,7 @@
 Gate::Gate(GateOptions options, std::shared_ptr<http1::Pool> pool)
     : options_(std::move(options))
     , pool_(std::move(pool))
+    , logBudget_(logLinesPerSecond)
 {
 }
 
@@ -136,6 +146,7 @@
         if (refusal == GateReason::Busy) {
             level_.onRefused();
         }
+        logRefused(call, refusal);
         auto reply = refusal == GateReason::Duplicate ? unknown(refusal) : notRun(refusal);
         reply.load_ = load();
         reply.fromBackend_ = fromBackend;
@@ -327,6 +338,7 @@
 auto Gate::finish(const TicketPtr& ticket, GateReply reply) -> void
 {
     tickets_.erase(ticket->id_);
+    logEnded(*ticket, reply);
     if (ticket->abandoned_) {
         return;
     }
@@ -336,6 +348,56 @@
     callback(std::move(reply));
 }
 
+auto Gate::logRefused(const GateCall& call, GateReason reason) -> void
+{
+    if (!isLogged(call.attemptId_) && !logBudget_.allow(1, bootNow())) {
+        return;
+    }
+    const auto bound = std::chrono::duration_cast<Duration>(call.goal_ * options_.queueShare_);
+    logEvent(LogLevel::Info, "gate_refused",
+        { { "attempt", call.attemptId_ }, { "from_node", call.callerNode_ },
+            { "from_service", call.callerService_ }, { "route", call.route_ },
+            { "reason", gateReasonName(reason) }, { "running", running_ }, { "queued", waiting_ },
+            { "limit", limit() }, { "expected_wait_ms", toMilliseconds(expectedWait(placeOf(call))) },
+            { "longest_wait_ms", toMilliseconds(bound) }, { "phase", backendPhaseName(instance_.phase_) },
+            { "backend", instance_.id_ }, { "time_left_ms", toMilliseconds(call.deadline_ - bootNow()) } });
+}
+
+auto Gate::logEnded(const Ticket& ticket, const GateReply& reply) -> void
+{
+    const auto& id = ticket.call_.attemptId_;
+    const bool plain = reply.outcome_ == GateOutcome::Answered;
+    if (!isLogged(id) && (plain || !logBudget_.allow(1, bootNow()))) {
+        return;
+    }
+    const auto now = bootNow();
+    const auto sent = ticket.running_ ? ticket.sent_ : now;
+    logEvent(LogLevel::Info, "gate_ended",
+        { { "attempt", id }, { "from_node", ticket.call_.callerNode_ },
+            { "from_service", ticket.call_.callerService_ }, { "route", ticket.call_.route_ },
+            { "outcome", outcomeNames.at(static_cast<std::size_t>(reply.outcome_)) },
+            { "reason", gateReasonName(reply.reason_) }, { "status", reply.response_.status_ },
+            { "abandoned", static_cast<int>(ticket.abandoned_) },
+            { "arrived", static_cast<int>(reply.arrived_) },
+            { "queued_ms", toMilliseconds(sent - ticket.arrived_) },
+            { "backend_ms", toMilliseconds(now - sent) }, { "running", running_ }, { "queued", waiting_ },
+            { "limit", limit() }, { "backend", instance_.id_ } });
+}
+
+auto Gate::logLevel(TimePoint now) -> void
+{
+    const double level = level_.level();
+    const bool moved = std::abs(level - loggedLevel_) >= loggedLevelStep || (level > 0) != (loggedLevel_ > 0);
+    if (!moved || now < nextLevelLog_) {
+        return;
+    }
+    nextLevelLog_ = now + levelLogInterval;
+    logEvent(LogLevel::Info, "level_changed",
+        { { "level", level }, { "before", loggedLevel_ }, { "running", running_ }, { "queued", waiting_ },
+            { "limit", limit() }, { "service_time_ms", toMilliseconds(meanServiceTime_) } });
+    loggedLevel_ = level;
+}
+
 auto Gate::cancel(TicketId id) -> void
 {
     const auto found = tickets_.find(id);
@@ -432,6 +494,7 @@
     level_.update(used, waiting_ / slots, now);
     busySeconds_ = 0;
     busySince_ = now;
+    logLevel(now);
     if (now >= nextRecordSweep_) {
         nextRecordSweep_ = now + recordSweepInterval;
         expireRecords(now);
--- a/src/libsidecar/gate.h
+++ b/src/libsidecar/gate.h
@@ -4,6 +4,7 @@
 #include "gate_types.h"
 #include "header_names.h"
 #include "http1_pool.h"
+#include "request_log.h"
 #include "route_origins.h"
 #include "shed_level.h"
 #include "wagtailhead/boot_clock.h"
@@ -92,6 +93,12 @@
     /// Drops what has waited too long. Call it every 100 ms or so.
     auto tick() -> void;
 
+    /// Returns the log lines left out since the last call.
+    auto takeDroppedLines() -> std::uint64_t
+    {
+        return logBudget_.takeDropped();
+    }
+
     auto load() const -> GateLoad;
     auto stats() const -> const GateStats&
     {
@@ -140,6 +147,9 @@
     auto replyFor(const Ticket& ticket, http1::CallResult result) -> GateReply;
     auto answerReply(const Ticket& ticket, http1::Response response) -> GateReply;
     auto finish(const TicketPtr& ticket, GateReply reply) -> void;
+    auto logRefused(const GateCall& call, GateReason reason) -> void;
+    auto logEnded(const Ticket& ticket, const GateReply& reply) -> void;
+    auto logLevel(TimePoint now) -> void;
     auto dropWaiting(const TicketPtr& ticket, GateReason reason) -> void;
     auto limit() const -> int;
     auto isUnreachable() const -> bool;
@@ -169,6 +179,9 @@
     TimePoint lastEnd_ = TimePoint::max();
     bool stopping_ = false;
     GateStats stats_;
+    LogBudget logBudget_;
+    double loggedLevel_ = 0;
+    TimePoint nextLevelLog_;
 };
 
 } // namespace wagtailhead
--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -131,7 +131,7 @@
         return;
     }
     incarnation_ = hello.incarnation_;
-    logEvent(LogLevel::Info, "link_open", { { "node", node_ }, { "incarnation", incarnation_ } });
+    logEvent(LogLevel::Info, "link_open", { { "peer", node_ }, { "incarnation", incarnation_ } });
     for (auto& [id, pending] : calls_) {
         if (pending.unsent_) {
             auto call = std::move(*pending.unsent_);
@@ -293,7 +293,7 @@
     broken_ = true;
     ++owner_.stats_.lost_;
     logEvent(LogLevel::Warning, "link_lost",
-        { { "node", node_ }, { "reason", reason }, { "calls", calls_.size() } });
+        { { "peer", node_ }, { "reason", reason }, { "calls", calls_.size() } });
     if (stream_) {
         stream_->close();
     }
--- /dev/null
+++ b/src/libsidecar/request_log_test.cpp
@@ -0,0 +1,161 @@
+#include "request_log.h"
+#include "retry_budgets.h"
+#include "root_shedding.h"
+
+#include <criterion/criterion.h>
+
+using namespace wagtailhead;
+
+namespace {
+
+const TimePoint start { seconds(1000) };
+
+auto nodeOf(const std::string& name, const std::string& service) -> NodeEntry
+{
+    NodeEntry entry;
+    entry.node_ = name;
+    entry.zone_ = "a";
+    entry.region_ = "r";
+    entry.service_ = service;
+    entry.capacity_ = 10;
+    entry.phase_ = BackendPhase::Ready;
+    entry.generation_ = 1;
+    return entry;
+}
+
+auto loadOf(double level, CallsMade calls) -> GateLoad
+{
+    GateLoad load;
+    load.limit_ = 10;
+    load.level_ = level;
+    load.calls_ = calls;
+    return load;
+}
+
+/// Two services of one node each.
+struct World {
+    World()
+    {
+        directory_.apply(nodeOf("n1", "stock"));
+        directory_.apply(nodeOf("n2", "shop"));
+    }
+
+    Directory directory_ { { "n2", "a", "r", 1 } };
+};
+
+auto takeAll(RetryBudgets& budgets, const std::string& service, bool ran) -> int
+{
+    int taken = 0;
+    while (budgets.take(service, ran, start) == RepeatVerdict::Granted) {
+        ++taken;
+    }
+    return taken;
+}
+
+} // namespace
+
+Test(log_budget, lets_through_a_number_of_lines_a_second_and_counts_the_rest)
+{
+    LogBudget budget(5);
+    cr_assert(budget.allow(3, start));
+    cr_assert(!budget.allow(3, start), "a group of lines stays together");
+    cr_assert(budget.allow(2, start));
+    cr_assert(budget.takeDropped() == 3 && budget.takeDropped() == 0);
+    cr_assert(budget.allow(5, start + seconds(1)));
+}
+
+Test(request_log, samples_the_same_small_share_of_requests_everywhere)
+{
+    int sampled = 0;
+    constexpr int requests = 100000;
+    for (int i = 0; i < requests; ++i) {
+        sampled += isLogged("request-" + std::to_string(i)) ? 1 : 0;
+    }
+    cr_assert(sampled > requests / 2000 && sampled < requests / 500, "%d sampled", sampled);
+    cr_assert(isLogged("request-1") == isLogged("request-1"));
+}
+
+Test(retry_budgets, repeats_that_cause_calls_have_the_smaller_part)
+{
+    World world;
+    world.directory_.onLoad("n1", loadOf(0, CallsMade::Some), start);
+    RetryBudgets budgets(
+        { .ranPart_ = 0.1, .rejectedPart_ = 0.5, .share_ = 0.2, .burst_ = 100 }, world.directory_);
+    cr_assert(takeAll(budgets, "stock", true) == 5, "100 for two nodes, a tenth");
+    cr_assert(takeAll(budgets, "stock", false) == 25, "the other part is not touched");
+    for (int i = 0; i < 1000; ++i) {
+        budgets.onFirstTry("stock");
+    }
+    cr_assert(takeAll(budgets, "stock", false) == 25, "tokens beyond the burst are not kept");
+}
+
+Test(retry_budgets, repeats_at_a_service_that_calls_nothing_share_the_larger_part)
+{
+    World world;
+    world.directory_.onLoad("n1", loadOf(2, CallsMade::None), start);
+    RetryBudgets budgets(
+        { .ranPart_ = 0.1, .rejectedPart_ = 0.5, .share_ = 0.2, .burst_ = 100 }, world.directory_);
+    cr_assert(takeAll(budgets, "stock", true) == 25, "also under overload");
+    cr_assert(takeAll(budgets, "stock", false) == 0);
+}
+
+Test(retry_budgets, an_overloaded_service_gets_no_repeats)
+{
+    World world;
+    world.directory_.onLoad("n1", loadOf(0.5, CallsMade::Some), start);
+    RetryBudgets budgets({}, world.directory_);
+    cr_assert(budgets.take("stock", false, start) == RepeatVerdict::Overloaded);
+    cr_assert(budgets.take("shop", false, start) == RepeatVerdict::Granted);
+}
+
+Test(retry_budgets, new_bounds_apply_at_once)
+{
+    World world;
+    RetryBudgets budgets({ .rejectedPart_ = 0.5, .share_ = 0.2, .burst_ = 100 }, world.directory_);
+    budgets.onFirstTry("stock");
+    budgets.setBounds(0.2, 8);
+    cr_assert(takeAll(budgets, "stock", false) == 2);
+}
+
+Test(root_shedding, calls_are_not_refused_and_pass_their_level_up)
+{
+    World world;
+    RootShedding shedding("shop", world.directory_, 1);
+    const SiteRoute call {
+        .name_ = "batch", .host_ = "h", .prefix_ = "/b/", .rank_ = 1, .destinations_ = { { "stock" } }
+    };
+    const SiteConfiguration configuration(1, "", { call }, {}, {});
+    cr_assert(shedding.shouldRefuse(configuration, call, 3));
+    shedding.onReply("stock", call, true, start);
+    cr_assert(!shedding.shouldRefuse(configuration, call, 3));
+    world.directory_.onLoad("n1", loadOf(1.5, CallsMade::None), start);
+    cr_assert(shedding.calledLevel(start).level_ == 1.5);
+    cr_assert(shedding.makesCalls(start));
+    cr_assert(shedding.calledLevel(start + seconds(3)).level_ == 0, "the service is not called any more");
+    shedding.onReply("stock", call, false, start);
+    cr_assert(shedding.shouldRefuse(configuration, call, 3), "callers use the route as well");
+}
+
+// Perlu scale-2: a service that had been taken for one that it calls itself reported its own level back to
+// itself and stood at 1.15 for nine seconds with free slots.
+Test(root_shedding, a_service_takes_no_level_from_itself)
+{
+    World world;
+    RootShedding shedding("stock", world.directory_, 1);
+    const SiteRoute route {
+        .name_ = "check", .host_ = "h", .prefix_ = "/c/", .destinations_ = { { "stock" } }
+    };
+    shedding.onReply("stock", route, true, start);
+    world.directory_.onLoad("n1", loadOf(1.5, CallsMade::None), start);
+    cr_assert(shedding.calledLevel(start).level_ == 0);
+}
+
+Test(root_shedding, a_refused_caller_comes_back_later_the_higher_the_level)
+{
+    World world;
+    RootShedding shedding("shop", world.directory_, 1);
+    cr_assert(shedding.comeBackAfter(0, 0) >= milliseconds(200));
+    cr_assert(shedding.comeBackAfter(1, 0) >= seconds(2));
+    cr_assert(shedding.comeBackAfter(1, 1) < seconds(1));
+    cr_assert(shedding.comeBackAfter(9, 0) <= seconds(5));
+}
--- /dev/null
+++ b/src/libsidecar/root_shedding.cpp
@@ -0,0 +1,77 @@
+#include "root_shedding.h"
+
+#include <algorithm>
+
+namespace wagtailhead {
+
+namespace {
+
+/// A service that the backend server has not called for this long does not count as called.
+constexpr Duration calledLife = seconds(2);
+/// A backend server that has made no calls for this long is taken to make none.
+constexpr Duration callsLife = std::chrono::minutes(1);
+/// Bounds of the time after which a refused caller may come back.
+constexpr Duration shortestRetryAfter = milliseconds(200);
+constexpr Duration longestRetryAfter = seconds(5);
+/// How fast a level falls when there is room again, in ranks a second.
+constexpr double levelFallPerSecond = 0.5;
+
+} // namespace
+
+RootShedding::RootShedding(std::string service, const Directory& directory, std::uint64_t seed)
+    : service_(std::move(service))
+    , directory_(directory)
+    , random_(seed)
+{
+}
+
+auto RootShedding::onReply(const std::string& service, const SiteRoute& route, bool isCall, TimePoint now)
+    -> void
+{
+    if (isCall) {
+        calledServices_[service] = now;
+        callRoutes_.insert(route.name_);
+    } else {
+        callRoutes_.erase(route.name_);
+    }
+}
+
+auto RootShedding::shouldRefuse(
+    const SiteConfiguration& configuration, const SiteRoute& route, ShedLevel level) -> bool
+{
+    if (level <= 0 || callRoutes_.count(route.name_) > 0) {
+        return false;
+    }
+    const double share = refusedShare(level, configuration.ranksBelow(route.rank_));
+    return share > 0 && std::uniform_real_distribution<>(0, 1)(random_) < share;
+}
+
+auto RootShedding::comeBackAfter(ShedLevel level, int ranksBelow) -> Duration
+{
+    const double wait = std::max(level - ranksBelow, 0.0) / levelFallPerSecond;
+    const auto spread = std::uniform_real_distribution<>(1, 2)(random_);
+    const auto pause
+        = std::chrono::duration<double>(shortestRetryAfter) + std::chrono::duration<double>(wait);
+    return std::min<Duration>(std::chrono::duration_cast<Duration>(pause * spread), longestRetryAfter);
+}
+
+auto RootShedding::calledLevel(TimePoint now) const -> ReportedLevel
+{
+    ReportedLevel highest;
+    for (const auto& [service, lastCall] : calledServices_) {
+        if (now - lastCall < calledLife && service != service_) {
+            const auto level = directory_.level(service, now);
+            highest = level.level_ > highest.level_ ? level : highest;
+        }
+    }
+    return highest;
+}
+
+auto RootShedding::makesCalls(TimePoint now) const -> bool
+{
+    return std::any_of(calledServices_.begin(), calledServices_.end(), [&](const auto& item) {
+        return now - item.second < callsLife;
+    });
+}
+
+} // namespace wagtailhead
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -120,13 +120,11 @@
     , entry_({ .node_ = settings_.node_,
                  .service_ = settings_.service_,
                  .headers_ = headers_,
-                 .retryShare_ = settings_.retryShare_,
-                 .retryBurst_ = settings_.retryBurst_ },
-          { directory_, links_, gate_,
-              [this] {
-                  return knowledge_->configuration();
-              } },
-          settings_.seed_ + 1)
+                 .retries_ = { .share_ = settings_.retryShare_, .burst_ = settings_.retryBurst_ },
+                 .seed_ = settings_.seed_ + 1 },
+          { directory_, links_, gate_, [this] {
+               return knowledge_->configuration();
+           } })
 {
 }
 
@@ -272,8 +270,8 @@
 auto SidecarProcess::run() -> void
 {
     logEvent(LogLevel::Info, "started",
-        { { "node", settings_.node_ }, { "incarnation", incarnation_ }, { "zone", settings_.zone_ },
-            { "service", settings_.service_ }, { "callers", settings_.callers_.text() },
+        { { "incarnation", incarnation_ }, { "zone", settings_.zone_ }, { "service", settings_.service_ },
+            { "callers", settings_.callers_.text() },
             { "first_start", static_cast<int>(settings_.firstStart_) } });
     waitForSignal();
     directory_.onLevelStep([this] {
@@ -282,7 +280,8 @@
     knowledge_->start();
     tick();
     context_.run();
-    logEvent(LogLevel::Info, "stopped", { { "node", settings_.node_ } });
+    logEvent(LogLevel::Info, "stopped", { { "requests", entry_.inFlight() } });
+    flushLog();
 }
 
 auto SidecarProcess::onConfiguration(const SiteConfiguration& configuration) -> void
@@ -365,7 +364,7 @@
         settings_.retryShare_ = settings.retryShare_;
         settings_.retryBurst_ = settings.retryBurst_;
         settings_.stopTime_ = settings.stopTime_;
-        entry_.setRetryBounds(settings.retryShare_, settings.retryBurst_);
+        entry_.retryBudgets().setBounds(settings.retryShare_, settings.retryBurst_);
     }
     logEvent(LogLevel::Info, "reloaded",
         { { "retry_share", settings_.retryShare_ }, { "retry_burst", settings_.retryBurst_ },
@@ -425,7 +424,7 @@
             { "refused", callers.refused_ }, { "shed", callers.shed_ }, { "failed", callers.failed_ },
             { "retries", callers.retries_ }, { "gate_admitted", gate.admitted_ },
             { "gate_refused", gate.refused_ }, { "backend_rejected", gate.rejectedByBackend_ },
-            { "lines_dropped", entry_.takeDroppedLines() } });
+            { "lines_left_out", entry_.requestLog().takeDropped() + gate_.takeDroppedLines() } });
     publishMetrics();
 }
 
@@ -464,7 +463,7 @@
 
 auto SidecarProcess::callsMade() const -> CallsMade
 {
-    if (entry_.makesCalls()) {
+    if (entry_.shedding().makesCalls(Clock::now())) {
         return CallsMade::Some;
     }
     return gate_.stats().answered_ > answersBeforeJudging ? CallsMade::None : CallsMade::Unknown;
@@ -472,7 +471,7 @@
 
 auto SidecarProcess::spreadLevels() -> void
 {
-    gate_.setCalledLevel(entry_.calledLevel());
+    gate_.setCalledLevel(entry_.shedding().calledLevel(Clock::now()));
     linkServer_->tick(Clock::now());
 }
 
@@ -516,6 +515,7 @@
     if (stopping_) {
         checkStopped();
     }
+    flushLog();
     timer_.expires_after(tickInterval);
     timer_.async_wait([this](const asio::error_code& error) {
         if (!error) {
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -145,7 +145,7 @@
         return;
     }
     logEvent(LogLevel::Info, "node_changed",
-        { { "node", entry.node_ }, { "service", entry.service_ }, { "phase", backendPhaseName(entry.phase_) },
+        { { "peer", entry.node_ }, { "service", entry.service_ }, { "phase", backendPhaseName(entry.phase_) },
             { "accepting", static_cast<int>(entry.accepting_) }, { "backend", entry.backendId_ },
             { "generation", entry.generation_ } });
     if (watching_) {
--- a/src/wagtailhead-sidecar/main.cpp
+++ b/src/wagtailhead-sidecar/main.cpp
@@ -30,8 +30,14 @@
 {
     using namespace wagtailhead;
     const auto flags = Settings::fromCommandLine(usage, argc, argv);
-    initLog(program, require(program, parseLogLevel(flags.text("log-level", "info"))));
+    LogOptions log;
+    log.level_ = require(program, parseLogLevel(flags.text("log-level", "info")));
+    log.stream_ = LogStream::StandardOutput;
+    initLog(program, log);
     auto settings = require(program, platform::readSettings());
+    log.node_ = settings.node_;
+    log.buffered_ = true;
+    initLog(program, log);
     settings.seed_ = static_cast<std::uint64_t>(require(program, flags.integer("seed", 0, 0, INT64_MAX)));
     if (settings.seed_ == 0) {
         settings.seed_ = std::random_device {}();
@@ -39,6 +45,7 @@
     auto sidecar = Sidecar::start(std::move(settings), platform::interface(), platform::headerNames());
     if (!isOk(sidecar)) {
         logEvent(LogLevel::Error, "start_failed", { { "error", errorOf(sidecar).text_ } });
+        flushLog();
         return 1;
     }
     valueOf(sidecar)->run();
