--- a/src/libctl/ctl_commands.cpp
+++ b/src/libctl/ctl_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "admin_client.h"
 #include "ctl_text.h"
+#include "story_output.h"
 #include "wagtailhead/document_record.h"
 #include "wagtailhead/intent.h"
 
@@ -44,6 +45,7 @@
     auto followIntent() -> int;
     auto checkConfig() -> int;
     auto getConfig() -> int;
+    auto traceRequest() -> int;
     /// Gets a path and prints the answer.
     auto show(const std::string& path, void (*print)(std::ostream&, const Json&)) -> int;
 
@@ -364,6 +366,28 @@
     return exitDone;
 }
 
+auto Ctl::traceRequest() -> int
+{
+    StoryReader reader(options_.id_);
+    if (options_.files_.empty()) {
+        reader.read(in_);
+    }
+    for (const auto& name : options_.files_) {
+        std::ifstream file(name);
+        if (!file) {
+            return fail("cannot read " + name);
+        }
+        reader.read(file);
+    }
+    const auto story = reader.tell();
+    if (options_.json_) {
+        out_ << storyJson(story).dump(indent) << '\n';
+    } else {
+        printStory(out_, story);
+    }
+    return story.found_ ? exitDone : exitFailed;
+}
+
 } // namespace
 
 auto runCtl(const CtlOptions& options, std::istream& in, std::ostream& out, std::ostream& err) -> int
@@ -390,6 +414,8 @@
         return ctl.show("/-/admin/status", printStatus);
     case CtlCommand::Dump:
         return ctl.show("/-/dump", nullptr);
+    case CtlCommand::Trace:
+        return ctl.traceRequest();
     }
     return exitFailed;
 }
--- a/src/libctl/ctl_options.cpp
+++ b/src/libctl/ctl_options.cpp
@@ -3,6 +3,7 @@
 #include "wagtailhead/config_documents.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace wagtailhead {
 
@@ -20,6 +21,7 @@
   wagtailheadctl history KIND [options]
   wagtailheadctl status [options]
   wagtailheadctl dump ADDRESS [options]
+  wagtailheadctl trace ID [LOG...] [options]
   wagtailheadctl --help
   wagtailheadctl --version
 
@@ -27,6 +29,9 @@
 declare-lost. FILE holds a document as JSON; - stands for standard input. An intent takes no effect until
 it is confirmed.
 
+trace tells the story of the request with this attempt id from the logs of several nodes, in any order, or from
+standard input, and marks the line that decided. The names of logs contain no commas.
+
 Parts of an intent:
   --add-node=ID        leaving: this node shall leave; may be repeated.
   --remove-node=ID     leaving: this node shall no longer leave; may be repeated.
@@ -87,6 +92,7 @@
         { "config", "get", CtlCommand::ConfigGet },
         { "history", nullptr, CtlCommand::History },
         { "status", nullptr, CtlCommand::Status },
+        { "trace", nullptr, CtlCommand::Trace },
     };
     for (const auto& words : commands) {
         if (isCommand(settings, words.first_, words.second_)) {
@@ -102,6 +108,17 @@
     return settings.given(name) ? settings.list(name) : std::vector<std::string> {};
 }
 
+/// Splits names that are separated by commas.
+auto namesOf(const std::string& text) -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    std::istringstream in(text);
+    for (std::string name; std::getline(in, name, ',');) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 /// Checks that an intent has exactly the parts that belong to its kind.
 auto checkIntent(const CtlOptions& options) -> Result<Done>
 {
@@ -155,7 +172,7 @@
 
 auto needsNode(CtlCommand command) -> bool
 {
-    return command != CtlCommand::ConfigCheck && command != CtlCommand::Dump;
+    return command != CtlCommand::ConfigCheck && command != CtlCommand::Dump && command != CtlCommand::Trace;
 }
 
 /// Reads the node's address and the token, as far as the command needs them.
@@ -230,6 +247,7 @@
     options.kind_ = settings.argument("KIND").value_or("");
     options.file_ = settings.argument("FILE").value_or("");
     options.id_ = settings.argument("ID").value_or("");
+    options.files_ = namesOf(settings.argument("LOG").value_or(""));
     options.addNodes_ = listOf(settings, "add-node");
     options.removeNodes_ = listOf(settings, "remove-node");
     options.lostNodes_ = listOf(settings, "lost-node");
--- a/src/libctl/ctl_options.h
+++ b/src/libctl/ctl_options.h
@@ -24,6 +24,7 @@
     History,
     Status,
     Dump,
+    Trace,
 };
 
 struct CtlOptions {
@@ -35,6 +36,7 @@
     std::string kind_;
     std::string file_; ///< "-" for standard input.
     std::string id_;
+    std::vector<std::string> files_; ///< Logs to read; none for standard input.
     std::vector<std::string> addNodes_;
     std::vector<std::string> removeNodes_;
     std::vector<std::string> lostNodes_;
--- a/src/libctl/ctl_options_test.cpp
+++ b/src/libctl/ctl_options_test.cpp
@@ -94,3 +94,14 @@
         = parseCtlOptions(Settings::fromMap({}, { { "dump", "true" }, { "ADDRESS", "127.0.0.1:82" } }));
     cr_assert(isOk(dump) && valueOf(dump).node_.port_ == 82);
 }
+
+/// Guards against a trace that needs a node or a token: logs are read where they lie.
+Test(ctl_options, a_trace_needs_no_access)
+{
+    unsetenv("WAGTAILHEAD_TOKEN");
+    const auto parsed = parseCtlOptions(Settings::fromMap(
+        {}, { { "trace", "true" }, { "ID", "9c41d07be2a35f68" }, { "LOG", "n1.log,n2.log" } }));
+    cr_assert(isOk(parsed));
+    cr_assert(valueOf(parsed).command_ == CtlCommand::Trace);
+    cr_assert(valueOf(parsed).files_ == (std::vector<std::string> { "n1.log", "n2.log" }));
+}
--- a/src/libsidecar/caller_operation.cpp
+++ b/src/libsidecar/caller_operation.cpp
@@ -40,6 +40,7 @@
     , request_(std::move(request))
     , exchange_(std::move(exchange))
 {
+    trace_.arrived_ = bootNow();
 }
 
 auto CallerOperation::start() -> void
@@ -89,7 +90,7 @@
     trace_.rank_ = route_->rank_;
     trace_.timeLeft_ = std::min(trace_.timeLeft_, route_->timeout_);
     trace_.service_ = shared_.chooseDestination_(*route_);
-    deadline_ = arrived_ + trace_.timeLeft_;
+    deadline_ = trace_.arrived_ + trace_.timeLeft_;
     request_.headers_.removeHopByHop();
     request_.headers_.remove(shared_.headers_.remainingMs_);
     request_.headers_.remove(shared_.headers_.callerService_);
@@ -394,7 +395,7 @@
 {
     ended_ = true;
     request_ = {};
-    trace_.time_ = bootNow() - arrived_;
+    trace_.time_ = bootNow() - trace_.arrived_;
     shared_.log_.onEnd(trace_, outcome, status, reason, Clock::now());
     shared_.onEnded_(shared_from_this());
 }
--- a/src/libsidecar/caller_operation.h
+++ b/src/libsidecar/caller_operation.h
@@ -96,7 +96,6 @@
     std::shared_ptr<http1::Exchange> exchange_;
     SiteConfigurationPtr configuration_; ///< Keeps the route alive.
     const SiteRoute* route_ = nullptr;
-    TimePoint arrived_ = bootNow();
     TimePoint deadline_ = TimePoint::max(); ///< The earlier of the caller's and the route's.
     RequestTrace trace_;
     std::vector<std::string> tried_; ///< Nodes.
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -393,8 +393,9 @@
     }
     nextLevelLog_ = now + levelLogInterval;
     logEvent(LogLevel::Info, "level_changed",
-        { { "level", level }, { "before", loggedLevel_ }, { "running", running_ }, { "queued", waiting_ },
-            { "limit", limit() }, { "service_time_ms", toMilliseconds(meanServiceTime_) } });
+        { { "shed_level", level }, { "before", loggedLevel_ }, { "running", running_ },
+            { "queued", waiting_ }, { "limit", limit() },
+            { "service_time_ms", toMilliseconds(meanServiceTime_) } });
     loggedLevel_ = level;
 }
 
--- a/src/libsidecar/request_log.cpp
+++ b/src/libsidecar/request_log.cpp
@@ -25,9 +25,10 @@
             { "zone", picked.entry_.zone_ }, { "backend", picked.entry_.backendId_ },
             { "outcome", attempt.outcome_ }, { "reason", attempt.reason_ },
             { "arrived", static_cast<int>(attempt.arrived_) }, { "next", attempt.next_ },
-            { "ms", toMilliseconds(attempt.time_) }, { "used", picked.used_ }, { "level", picked.level_ },
-            { "load_age_ms", toMilliseconds(picked.loadAge_) }, { "candidates", picked.candidates_ },
-            { "entry_generation", picked.entry_.generation_ } });
+            { "at_ms", toMilliseconds(attempt.sent_ - trace.arrived_) },
+            { "ms", toMilliseconds(attempt.time_) }, { "used", picked.used_ },
+            { "shed_level", picked.level_ }, { "load_age_ms", toMilliseconds(picked.loadAge_) },
+            { "candidates", picked.candidates_ }, { "entry_generation", picked.entry_.generation_ } });
 }
 
 } // namespace
@@ -83,7 +84,7 @@
             { "reason", reason }, { "ms", toMilliseconds(trace.time_) },
             { "time_left_ms", toMilliseconds(trace.timeLeft_) }, { "rank", trace.rank_ },
             { "attempts", trace.attempts_.size() }, { "arrivals", arrivals },
-            { "level", trace.level_.level_ }, { "level_age_ms", toMilliseconds(trace.level_.age_) },
+            { "shed_level", trace.level_.level_ }, { "shed_level_age_ms", toMilliseconds(trace.level_.age_) },
             { "config", trace.configVersion_ }, { "sampled", static_cast<int>(sampled) } });
 }
 
--- a/src/libsidecar/request_log.h
+++ b/src/libsidecar/request_log.h
@@ -56,6 +56,7 @@
     std::uint64_t configVersion_ = 0;
     Duration timeLeft_ {}; ///< At its arrival: the earlier of the caller's and the route's time.
     ReportedLevel level_; ///< Of the service, as it decided at the arrival.
+    TimePoint arrived_;
     Duration time_ {};
     std::vector<AttemptTrace> attempts_;
 };
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -419,7 +419,7 @@
     const auto& gate = gate_.stats();
     logEvent(LogLevel::Info, "load",
         { { "running", load.running_ }, { "queued", load.queued_ }, { "limit", load.limit_ },
-            { "level", load.level_ }, { "called_level", load.called_.level_ },
+            { "shed_level", load.level_ }, { "called_level", load.called_.level_ },
             { "requests", callers.requests_ }, { "answered", callers.answered_ },
             { "refused", callers.refused_ }, { "shed", callers.shed_ }, { "failed", callers.failed_ },
             { "retries", callers.retries_ }, { "gate_admitted", gate.admitted_ },
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -178,9 +178,6 @@
     entry.backendId_ = belief.id_;
     entry.backendBornMs_ = belief.bornMs_;
     entry.phase_ = belief.phase_;
-    if (belief.phase_ == BackendPhase::Unknown && !belief.id_.empty()) {
-        entry.phase_ = BackendPhase::Ready; // As published before; its next report is due soon.
-    }
     entry.accepting_ = accepting_;
     return entry;
 }
@@ -202,7 +199,10 @@
     }
     published_ = true;
     if (nodesKnown_ || options_.firstStart_) {
-        entry.accepting_ = true; // The next process accepts again, and is told apart by its generation.
+        // A restart changes nothing that would be worth a call: the next process accepts again, and the next
+        // report of the backend server is due soon.
+        entry.accepting_ = true;
+        entry.phase_ = entry.phase_ == BackendPhase::Unknown ? BackendPhase::Ready : entry.phase_;
         publisher_->publish(entry, std::move(onWritten));
     }
 }
--- a/src/libsidecar/stop_sequence.cpp
+++ b/src/libsidecar/stop_sequence.cpp
@@ -10,8 +10,8 @@
 constexpr Duration notice = milliseconds(2500);
 /// The backend server works on for this part of the notice, but not for longer than this part of the stop
 /// time; its last requests end during the rest.
-constexpr double servingNoticePart = 0.7;
-constexpr double servingPart = 0.3;
+constexpr double servingNoticePart = 0.9;
+constexpr double servingPart = 0.375;
 /// A request that is taken later might not end before SIGKILL.
 constexpr double lastTakingPart = 0.55;
 constexpr double endPart = 0.87;
