--- a/src/include/wagtailhead/sidecar.h
+++ b/src/include/wagtailhead/sidecar.h
@@ -28,6 +28,7 @@
     Address link_; ///< Other nodes.
     Address readiness_; ///< Readiness checks, metrics and the state dump.
     Address reports_; ///< Reports of the backend server.
+    Address metrics_; ///< The scraper; port 0 if metrics are served on the readiness address only.
     Address store_;
     bool firstStart_ = false; ///< The whole site starts for the first time.
     double retryShare_ = 0.1; ///< Extra arrivals for each first one, over all nodes.
@@ -60,6 +61,8 @@
     std::function<http1::Response()> reportAnswer_;
     /// Reads the settings again, for a reload.
     std::function<Result<SidecarSettings>()> readSettings_;
+    /// Returns a text that changes whenever the settings do.
+    std::function<std::string()> settingsStamp_;
     std::function<std::unique_ptr<ObjectStore>(asio::io_context& context, const Address& address)> openStore_;
 };
 
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -21,6 +21,7 @@
     Directory& directory_;
     LinkClient& links_;
     Gate& gate_;
+    RequestMetrics& metrics_;
     std::function<SiteConfigurationPtr()> configuration_;
 };
 
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -106,7 +106,9 @@
 
     asio::io_context context_;
     std::shared_ptr<FakePool> pool_ = std::make_shared<FakePool>();
-    Gate gate_ { { .service_ = "stock", .headers_ = testHeaderNames(), .usedSlotShare_ = 1 }, pool_ };
+    RequestMetrics metrics_;
+    Gate gate_ { { .service_ = "stock", .headers_ = testHeaderNames(), .usedSlotShare_ = 1 }, pool_,
+        metrics_ };
     Directory directory_ { { "self", "a", "r", 1 } };
     LinkClient links_ { context_,
         { [] {
@@ -125,7 +127,7 @@
                              .headers_ = testHeaderNames(),
                              .retries_ = { .ranPart_ = 1, .rejectedPart_ = 1, .share_ = 1, .burst_ = 10 },
                              .seed_ = 1 },
-        { directory_, links_, gate_, [this] {
+        { directory_, links_, gate_, metrics_, [this] {
              return configuration_;
          } } };
     std::uint16_t port_ = 0;
--- a/src/libsidecar/caller_operation.cpp
+++ b/src/libsidecar/caller_operation.cpp
@@ -396,6 +396,7 @@
     ended_ = true;
     request_ = {};
     trace_.time_ = bootNow() - trace_.arrived_;
+    shared_.metrics_.onRequest(trace_, outcome, reason);
     shared_.log_.onEnd(trace_, outcome, status, reason, Clock::now());
     shared_.onEnded_(shared_from_this());
 }
--- a/src/libsidecar/caller_operation.h
+++ b/src/libsidecar/caller_operation.h
@@ -4,7 +4,7 @@
 #include "gate.h"
 #include "http1_listener.h"
 #include "link_client.h"
-#include "request_log.h"
+#include "request_metrics.h"
 #include "retry_budgets.h"
 #include "root_shedding.h"
 #include "wagtailhead/site_configuration.h"
@@ -40,6 +40,7 @@
     RetryBudgets& budgets_;
     RootShedding& shedding_;
     RequestLog& log_;
+    RequestMetrics& metrics_;
     CallerEntryStats& stats_;
     std::function<SiteConfigurationPtr()> configuration_;
     std::function<const std::string&(const SiteRoute& route)> chooseDestination_;
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -61,9 +61,10 @@
     return reasonNames.at(static_cast<std::size_t>(reason));
 }
 
-Gate::Gate(GateOptions options, std::shared_ptr<http1::Pool> pool)
+Gate::Gate(GateOptions options, std::shared_ptr<http1::Pool> pool, RequestMetrics& metrics)
     : options_(std::move(options))
     , pool_(std::move(pool))
+    , metrics_(metrics)
     , logBudget_(logLinesPerSecond)
 {
 }
@@ -350,6 +351,7 @@
 
 auto Gate::logRefused(const GateCall& call, GateReason reason) -> void
 {
+    metrics_.onGate("refused", gateReasonName(reason), {}, {});
     if (!isLogged(call.attemptId_) && !logBudget_.allow(1, bootNow())) {
         return;
     }
@@ -365,19 +367,20 @@
 
 auto Gate::logEnded(const Ticket& ticket, const GateReply& reply) -> void
 {
+    const auto now = bootNow();
+    const auto sent = ticket.running_ ? ticket.sent_ : now;
+    const auto* outcome = outcomeNames.at(static_cast<std::size_t>(reply.outcome_));
+    metrics_.onGate(outcome, gateReasonName(reply.reason_), sent - ticket.arrived_, now - sent);
     const auto& id = ticket.call_.attemptId_;
     const bool plain = reply.outcome_ == GateOutcome::Answered;
-    if (!isLogged(id) && (plain || !logBudget_.allow(1, bootNow()))) {
+    if (!isLogged(id) && (plain || !logBudget_.allow(1, now))) {
         return;
     }
-    const auto now = bootNow();
-    const auto sent = ticket.running_ ? ticket.sent_ : now;
     logEvent(LogLevel::Info, "gate_ended",
         { { "attempt", id }, { "from_node", ticket.call_.callerNode_ },
             { "from_service", ticket.call_.callerService_ }, { "route", ticket.call_.route_ },
-            { "outcome", outcomeNames.at(static_cast<std::size_t>(reply.outcome_)) },
-            { "reason", gateReasonName(reply.reason_) }, { "status", reply.response_.status_ },
-            { "abandoned", static_cast<int>(ticket.abandoned_) },
+            { "outcome", outcome }, { "reason", gateReasonName(reply.reason_) },
+            { "status", reply.response_.status_ }, { "abandoned", static_cast<int>(ticket.abandoned_) },
             { "arrived", static_cast<int>(reply.arrived_) },
             { "queued_ms", toMilliseconds(sent - ticket.arrived_) },
             { "backend_ms", toMilliseconds(now - sent) }, { "running", running_ }, { "queued", waiting_ },
@@ -414,6 +417,7 @@
     if (ticket->call_.idempotent_) {
         pool_->cancel(ticket->poolCall_);
         changeRunning(-1);
+        logEnded(*ticket, unknown(GateReason::None));
         tickets_.erase(id);
         startWaiting();
     }
--- a/src/libsidecar/gate.h
+++ b/src/libsidecar/gate.h
@@ -4,7 +4,7 @@
 #include "gate_types.h"
 #include "header_names.h"
 #include "http1_pool.h"
-#include "request_log.h"
+#include "request_metrics.h"
 #include "route_origins.h"
 #include "shed_level.h"
 #include "wagtailhead/boot_clock.h"
@@ -52,7 +52,8 @@
 public:
     using TicketId = std::uint64_t;
 
-    Gate(GateOptions options, std::shared_ptr<http1::Pool> pool);
+    /// The metrics must outlive the gate.
+    Gate(GateOptions options, std::shared_ptr<http1::Pool> pool, RequestMetrics& metrics);
 
     /// Takes a request. The callback runs exactly once unless the request is cancelled, possibly before
     /// submit() returns.
@@ -157,6 +158,7 @@
 
     GateOptions options_;
     std::shared_ptr<http1::Pool> pool_;
+    RequestMetrics& metrics_;
     BackendInstance instance_;
     std::map<int, std::deque<TicketPtr>> queue_; ///< By place.
     std::unordered_map<TicketId, TicketPtr> tickets_;
--- a/src/libsidecar/gate_test.cpp
+++ b/src/libsidecar/gate_test.cpp
@@ -10,7 +10,7 @@
 
 struct World {
     explicit World(int capacity = 100)
-        : gate_({ .service_ = "stock", .headers_ = testHeaderNames(), .usedSlotShare_ = 1 }, pool_)
+        : gate_({ .service_ = "stock", .headers_ = testHeaderNames(), .usedSlotShare_ = 1 }, pool_, metrics_)
     {
         gate_.setInstance(readyInstance(capacity));
     }
@@ -25,6 +25,7 @@
     }
 
     std::shared_ptr<FakePool> pool_ = std::make_shared<FakePool>();
+    RequestMetrics metrics_;
     Gate gate_;
     std::map<std::string, GateReply> replies_;
     std::map<std::string, int> answers_;
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -66,7 +66,9 @@
 
     asio::io_context context_;
     std::shared_ptr<FakePool> pool_ = std::make_shared<FakePool>();
-    Gate gate_ { { .service_ = "stock", .headers_ = testHeaderNames(), .usedSlotShare_ = 1 }, pool_ };
+    RequestMetrics metrics_;
+    Gate gate_ { { .service_ = "stock", .headers_ = testHeaderNames(), .usedSlotShare_ = 1 }, pool_,
+        metrics_ };
     NodeEntry node_;
     std::unique_ptr<LinkServer> server_;
     std::uint64_t version_ = 0;
--- a/src/libsidecar/request_log.cpp
+++ b/src/libsidecar/request_log.cpp
@@ -33,6 +33,11 @@
 
 } // namespace
 
+auto requestOutcomeName(RequestOutcome outcome) -> const char*
+{
+    return outcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
 auto LogBudget::allow(int lines, TimePoint now) -> bool
 {
     if (now - windowStart_ >= seconds(1)) {
@@ -80,10 +85,9 @@
           });
     logEvent(LogLevel::Info, "request_ended",
         { { "attempt", trace.attemptId_ }, { "route", trace.route_ }, { "service", trace.service_ },
-            { "outcome", outcomeNames.at(static_cast<std::size_t>(outcome)) }, { "status", status },
-            { "reason", reason }, { "ms", toMilliseconds(trace.time_) },
-            { "time_left_ms", toMilliseconds(trace.timeLeft_) }, { "rank", trace.rank_ },
-            { "attempts", trace.attempts_.size() }, { "arrivals", arrivals },
+            { "outcome", requestOutcomeName(outcome) }, { "status", status }, { "reason", reason },
+            { "ms", toMilliseconds(trace.time_) }, { "time_left_ms", toMilliseconds(trace.timeLeft_) },
+            { "rank", trace.rank_ }, { "attempts", trace.attempts_.size() }, { "arrivals", arrivals },
             { "shed_level", trace.level_.level_ }, { "shed_level_age_ms", toMilliseconds(trace.level_.age_) },
             { "config", trace.configVersion_ }, { "sampled", static_cast<int>(sampled) } });
 }
--- a/src/libsidecar/request_log.h
+++ b/src/libsidecar/request_log.h
@@ -68,6 +68,9 @@
     Cancelled, ///< The caller has gone.
 };
 
+/// Returns "answered", "refused", "failed" or "cancelled".
+auto requestOutcomeName(RequestOutcome outcome) -> const char*;
+
 /// Writes a line for each request that ended in a failure or refusal and one for each of its attempts, up to
 /// a rate, and the same for a sample of the others. Not thread safe.
 class RequestLog {
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -2,8 +2,8 @@
 
 #include "caller_entry.h"
 #include "link_server.h"
+#include "node_gauges.h"
 #include "report_server.h"
-#include "site_knowledge.h"
 #include "stop_sequence.h"
 #include "wagtailhead/log.h"
 #include "wagtailhead/metrics.h"
@@ -20,6 +20,8 @@
 constexpr Duration tickInterval = milliseconds(50);
 /// The slower checks run on each n-th tick.
 constexpr int slowTicks = 2;
+/// The settings file may change without a signal; it is looked at on each n-th tick.
+constexpr int settingsTicks = 20;
 /// With fewer answers the backend server's calls may not have been recognized yet.
 constexpr std::uint64_t answersBeforeJudging = 500;
 /// Levels that come in within this time are passed on together.
@@ -31,8 +33,9 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
-/// Served on the readiness address.
+/// Served on the readiness address, and on the address for metrics if there is one.
 constexpr auto metricsPath = "/-/metrics";
+constexpr auto scraperPath = "/metrics";
 
 auto nowMicroseconds() -> std::uint64_t
 {
@@ -84,6 +87,7 @@
     Directory directory_;
     BackendReports reports_;
     std::shared_ptr<http1::Pool> backendPool_;
+    RequestMetrics metrics_;
     Gate gate_;
     LinkClient links_;
     std::unique_ptr<ObjectStore> store_;
@@ -92,11 +96,14 @@
     std::unique_ptr<LinkServer> linkServer_;
     std::shared_ptr<http1::Listener> callers_;
     std::shared_ptr<http1::Listener> readiness_;
+    std::shared_ptr<http1::Listener> scraper_; ///< Null without an address for metrics.
     std::unique_ptr<ReportServer> reportServer_;
+    std::string settingsStamp_; ///< Of the settings file as it was read last.
     bool spreadDue_ = false;
     bool stopping_ = false;
     bool accepting_ = true; ///< The gate takes requests.
     bool listenerClosed_ = false;
+    TimePoint configurationAdopted_;
     TimePoint stopStarted_;
     std::optional<StopSequence> stop_; ///< Set while stopping.
     int ticks_ = 0;
@@ -113,7 +120,7 @@
     , directory_({ settings_.node_, settings_.zone_, settings_.region_, settings_.seed_ })
     , reports_(settings_.service_)
     , backendPool_(http1::Pool::create(context_, { .server_ = settings_.backend_ }))
-    , gate_({ .service_ = settings_.service_, .headers_ = headers_ }, backendPool_)
+    , gate_({ .service_ = settings_.service_, .headers_ = headers_ }, backendPool_, metrics_)
     , links_(context_, linkEvents())
     , store_(platform_.openStore_(context_, settings_.store_))
     , knowledge_(makeKnowledge())
@@ -122,7 +129,7 @@
                  .headers_ = headers_,
                  .retries_ = { .share_ = settings_.retryShare_, .burst_ = settings_.retryBurst_ },
                  .seed_ = settings_.seed_ + 1 },
-          { directory_, links_, gate_, [this] {
+          { directory_, links_, gate_, metrics_, [this] {
                return knowledge_->configuration();
            } })
 {
@@ -251,6 +258,16 @@
         return errorOf(readiness);
     }
     readiness_ = valueOf(std::move(readiness));
+    if (settings_.metrics_.port_ != 0) {
+        auto scraper = http1::Listener::open(context_, settings_.metrics_, {},
+            [this](const http1::Request& request, const std::shared_ptr<http1::Exchange>& exchange) {
+                onReadinessRequest(request, exchange);
+            });
+        if (!isOk(scraper)) {
+            return errorOf(scraper);
+        }
+        scraper_ = valueOf(std::move(scraper));
+    }
     auto reports = ReportServer::open(context_, settings_.reports_,
         { platform_.decodeReport_, platform_.reportAnswer_, reports_,
             [this](std::function<void()> onWritten) {
@@ -273,6 +290,7 @@
         { { "incarnation", incarnation_ }, { "zone", settings_.zone_ }, { "service", settings_.service_ },
             { "callers", settings_.callers_.text() },
             { "first_start", static_cast<int>(settings_.firstStart_) } });
+    settingsStamp_ = platform_.settingsStamp_();
     waitForSignal();
     directory_.onLevelStep([this] {
         spreadLevelsSoon();
@@ -286,6 +304,7 @@
 
 auto SidecarProcess::onConfiguration(const SiteConfiguration& configuration) -> void
 {
+    configurationAdopted_ = Clock::now();
     const auto& limits = configuration.limits();
     callers_->setLimits(
         { { limits.headerBytes_, limits.bodyBytes_ }, limits.headerTimeout_, limits.idleTimeout_ });
@@ -325,7 +344,7 @@
     http1::Response response;
     if (request.target_ == platform_.readinessPath_) {
         response.status_ = isReady() ? statusOk : statusUnavailable;
-    } else if (request.target_ == metricsPath) {
+    } else if (request.target_ == metricsPath || request.target_ == scraperPath) {
         response.status_ = statusOk;
         response.headers_.add("Content-Type", "text/plain; version=0.0.4");
         response.body_ = metricsText();
@@ -352,6 +371,7 @@
 
 auto SidecarProcess::reload() -> void
 {
+    settingsStamp_ = platform_.settingsStamp_();
     const auto read = platform_.readSettings_();
     if (!isOk(read)) {
         logEvent(LogLevel::Error, "reload_refused", { { "error", errorOf(read).text_ } });
@@ -430,35 +450,20 @@
 
 auto SidecarProcess::publishMetrics() -> void
 {
-    const auto load = gate_.load();
-    const auto& callers = entry_.stats();
-    const auto store = store_->stats();
-    const auto set = [](const char* name, const char* help, auto value) {
-        gauge(name, help).Set(static_cast<double>(value));
-    };
-    set("wagtailhead_gate_running", "Requests at the backend server.", load.running_);
-    set("wagtailhead_gate_queued", "Requests that wait for the backend server.", load.queued_);
-    set("wagtailhead_gate_limit", "Most requests at the backend server.", load.limit_);
-    set("wagtailhead_shed_level", "Ranks refused by callers' nodes, the least important first.", load.level_);
-    set("wagtailhead_requests", "Requests of callers since the start.", callers.requests_);
-    set("wagtailhead_refused", "Requests refused as not run since the start.", callers.refused_);
-    set("wagtailhead_shed", "Requests refused for the load of a service since the start.", callers.shed_);
-    set("wagtailhead_failed", "Requests that ended in 502 or 504 since the start.", callers.failed_);
-    set("wagtailhead_retries", "Repeats at another backend server since the start.", callers.retries_);
-    set("wagtailhead_gate_refused", "Requests that the gate refused since the start.",
-        gate_.stats().refused_);
-    set("wagtailhead_backend_rejected", "Requests rejected by the backend server since the start.",
-        gate_.stats().rejectedByBackend_);
-    set("wagtailhead_backend_malformed", "Answers rejected since the start.", gate_.stats().malformed_);
-    set("wagtailhead_backend_connections", "Connections opened to the backend server since the start.",
-        backendPool_->stats().opened_);
-    set("wagtailhead_links_lost", "Links to other nodes that broke since the start.", links_.stats().lost_);
-    set("wagtailhead_store_calls", "Calls to the store since the start.",
-        store.reads_ + store.watches_ + store.writes_);
-    set("wagtailhead_store_failures", "Calls to the store that failed since the start.", store.failures_);
-    set("wagtailhead_config_version", "Version of the configuration in force.", knowledge_->version());
-    set("wagtailhead_store_watching", "1 if this node watches the store for its zone.",
-        knowledge_->isWatching() ? 1 : 0);
+    NodeGauges now;
+    now.load_ = gate_.load();
+    now.gate_ = gate_.stats();
+    now.callers_ = entry_.stats();
+    now.connections_ = backendPool_->stats();
+    now.links_ = links_.stats();
+    now.store_ = store_->stats();
+    now.callerConnections_ = callers_->connectionCount();
+    now.configVersion_ = knowledge_->version();
+    now.configAge_ = Clock::now() - configurationAdopted_;
+    now.nodes_ = directory_.size();
+    now.watching_ = knowledge_->isWatching();
+    now.ready_ = isReady();
+    publishGauges(now);
 }
 
 auto SidecarProcess::callsMade() const -> CallsMade
@@ -500,6 +505,9 @@
         links_.tick(now);
         callers_->tick(now);
         readiness_->tick(now);
+        if (scraper_) {
+            scraper_->tick(now);
+        }
         reportServer_->tick(now);
         store_->tick(now);
         knowledge_->tick(now);
@@ -512,6 +520,9 @@
         }
         logLoad();
     }
+    if (ticks_ % settingsTicks == 0 && platform_.settingsStamp_() != settingsStamp_) {
+        reload();
+    }
     if (stopping_) {
         checkStopped();
     }
--- a/src/wagtailhead-sidecar/main.cpp
+++ b/src/wagtailhead-sidecar/main.cpp
@@ -19,6 +19,8 @@
 
 Options: (environment variables WAGTAILHEAD_<OPTION> are read as defaults)
   --log-level=LEVEL  debug, info, warning or error [info if not set].
+  --metrics-port=N   Port of this machine where metrics are served at /metrics as well; 0 or unset: only at
+                     the readiness address.
   --seed=N           Seed of all random choices; 0 or unset takes one from the system.
   -h --help          Show this text.
   --version          Show the version.
@@ -39,6 +41,9 @@
     log.buffered_ = true;
     initLog(program, log);
     settings.seed_ = static_cast<std::uint64_t>(require(program, flags.integer("seed", 0, 0, INT64_MAX)));
+    constexpr int mostPort = 65535;
+    const auto metricsPort = require(program, flags.integer("metrics-port", 0, 0, mostPort));
+    settings.metrics_ = { settings.readiness_.ip_, static_cast<std::uint16_t>(metricsPort) };
     if (settings.seed_ == 0) {
         settings.seed_ = std::random_device {}();
     }
