--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -126,10 +126,13 @@
 
     auto onLoad(const std::string& node, const GateLoad& load, TimePoint now) -> void;
     /// The node cannot be reached: it is avoided until onReachable().
-    auto onUnreachable(const std::string& node) -> void;
+    auto onUnreachable(const std::string& node, TimePoint now) -> void;
     auto onReachable(const std::string& node) -> void;
-    /// Returns the nodes that take requests and could not be reached.
-    auto unreachable() const -> std::vector<NodeEntry>;
+    /// Returns the nodes out of reach that are to be tried again now: soon at first, since most are only
+    /// restarted, then more rarely.
+    auto takeDueProbes(TimePoint now) -> std::vector<NodeEntry>;
+    /// Returns since when a node has been out of reach, or nothing.
+    auto unreachableSince(const std::string& node) const -> std::optional<TimePoint>;
     /// Returns the nodes that are not known to be out of reach.
     auto reachable() const -> std::vector<NodeEntry>;
     /// The node or its backend server did not take a request: it is avoided for a growing time.
@@ -150,6 +153,9 @@
         TimePoint avoidUntil_;
         bool suspected_ = false; ///< The failures have been logged.
         bool unreachable_ = false;
+        TimePoint unreachableSince_;
+        TimePoint nextProbe_;
+        Duration probeInterval_ {};
     };
 
     static auto isUsable(const Known& known) -> bool;
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -32,6 +32,12 @@
 
     auto onRequest(http1::Request request, std::shared_ptr<http1::Exchange> exchange) -> void;
 
+    /// This node ends: refuses all further requests at once.
+    auto refuseFurther() -> void
+    {
+        shared_.stopping_ = true;
+    }
+
     /// Answers requests whose time is over. Call it every 50 ms or so.
     auto tick() -> void;
 
--- a/src/libsidecar/caller_operation.cpp
+++ b/src/libsidecar/caller_operation.cpp
@@ -71,6 +71,10 @@
     trace_.attemptId_ = headers.find(shared_.headers_.attemptId_);
     const auto remaining = parseMilliseconds(headers.find(shared_.headers_.remainingMs_));
     trace_.timeLeft_ = remaining.value_or(assumedCallerTime);
+    if (shared_.stopping_) {
+        refuse(gateReasonName(GateReason::Stopping));
+        return false;
+    }
     if (!configuration_) {
         refuse("no-configuration");
         return false;
@@ -176,7 +180,7 @@
     if (ended_ || !current_) {
         return;
     }
-    shared_.directory_.onUnreachable(current_->node_);
+    shared_.directory_.onUnreachable(current_->node_, Clock::now());
     if (std::get<LinkFailure>(result.value_) == LinkFailure::NotSent) {
         GateReply reply;
         reply.outcome_ = GateOutcome::NotRun;
--- a/src/libsidecar/caller_operation.h
+++ b/src/libsidecar/caller_operation.h
@@ -46,6 +46,7 @@
     std::function<const std::string&(const SiteRoute& route)> chooseDestination_;
     /// The request has been answered, or its caller has gone.
     std::function<void(const std::shared_ptr<CallerOperation>& operation)> onEnded_;
+    bool stopping_ = false; ///< This node ends and takes no further requests.
 };
 
 /// Sends a request to one gate after another until there is a final answer. All members run in the context's
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -38,6 +38,9 @@
 /// How long a node is avoided after its first failure to take a request; doubles up to the limit.
 constexpr Duration avoidFirst = milliseconds(200);
 constexpr int avoidDoublings = 4;
+/// A node out of reach is tried again after the first interval, which doubles up to the longest.
+constexpr Duration firstProbeInterval = milliseconds(250);
+constexpr Duration longestProbeInterval = seconds(2);
 /// The capacity that is assumed until a report names it.
 constexpr int assumedCapacity = 50;
 
@@ -292,11 +295,15 @@
     }
 }
 
-auto Directory::onUnreachable(const std::string& node) -> void
+auto Directory::onUnreachable(const std::string& node, TimePoint now) -> void
 {
     const auto found = nodes_.find(node);
-    if (found != nodes_.end()) {
-        found->second.unreachable_ = true;
+    if (found != nodes_.end() && !found->second.unreachable_) {
+        auto& known = found->second;
+        known.unreachable_ = true;
+        known.unreachableSince_ = now;
+        known.probeInterval_ = firstProbeInterval;
+        known.nextProbe_ = now + known.probeInterval_;
     }
 }
 
@@ -308,17 +315,29 @@
     }
 }
 
-auto Directory::unreachable() const -> std::vector<NodeEntry>
+auto Directory::takeDueProbes(TimePoint now) -> std::vector<NodeEntry>
 {
     std::vector<NodeEntry> nodes;
-    for (const auto& [name, known] : nodes_) {
-        if (known.unreachable_ && isUsable(known)) {
+    for (auto& [name, known] : nodes_) {
+        const bool leaves
+            = known.entry_.phase_ == BackendPhase::Draining || known.entry_.phase_ == BackendPhase::Gone;
+        if (known.unreachable_ && !leaves && now >= known.nextProbe_) {
             nodes.push_back(known.entry_);
+            known.probeInterval_ = std::min(known.probeInterval_ * 2, longestProbeInterval);
+            known.nextProbe_ = now + known.probeInterval_;
         }
     }
     return nodes;
 }
 
+auto Directory::unreachableSince(const std::string& node) const -> std::optional<TimePoint>
+{
+    const auto found = nodes_.find(node);
+    return found != nodes_.end() && found->second.unreachable_
+        ? std::optional(found->second.unreachableSince_)
+        : std::nullopt;
+}
+
 auto Directory::reachable() const -> std::vector<NodeEntry>
 {
     std::vector<NodeEntry> nodes;
--- a/src/libsidecar/entry_publisher.cpp
+++ b/src/libsidecar/entry_publisher.cpp
@@ -93,6 +93,14 @@
     }
 }
 
+auto EntryPublisher::check() -> void
+{
+    if (!busy_ && wanted_) {
+        busy_ = true;
+        read();
+    }
+}
+
 auto EntryPublisher::onSeen(const StoredObject& object) -> void
 {
     if (!busy_ && object.revision_ > revision_) {
--- a/src/libsidecar/entry_publisher.h
+++ b/src/libsidecar/entry_publisher.h
@@ -32,6 +32,9 @@
     /// later one.
     auto publish(const NodeEntry& entry, std::function<void()> onWritten) -> void;
 
+    /// Reads the object and writes it again if it is gone or says something else.
+    auto check() -> void;
+
     /// Tells the revision of this node's object as a list or watch has shown it.
     auto onSeen(const StoredObject& object) -> void;
     /// The object does not exist.
--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -127,7 +127,9 @@
 auto LinkClient::Link::onHello(const HelloFrame& hello) -> void
 {
     if (hello.node_ != node_) {
+        const auto self = shared_from_this();
         fail("the address belongs to node " + hello.node_);
+        owner_.events_.onForeign_(node_, hello.node_);
         return;
     }
     incarnation_ = hello.incarnation_;
--- a/src/libsidecar/link_client.h
+++ b/src/libsidecar/link_client.h
@@ -35,6 +35,8 @@
     std::function<void(const std::string& node, const BeatFrame& beat)> onBeat_;
     /// A node tells the load of its gate.
     std::function<void(const std::string& node, const GateLoad& load)> onLoad_;
+    /// The address of a node belongs to another one now.
+    std::function<void(const std::string& node, const std::string& owner)> onForeign_;
     /// A link broke, or could not be opened.
     std::function<void(const std::string& node, bool wasOpen)> onLost_;
     /// A link is open.
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -78,6 +78,7 @@
     double toldLevel_ = -1;
     std::string beatFrom_;
     BeatFrame beat_;
+    std::string owner_;
     int lost_ = 0;
     Duration toldAge_ {};
     LinkClient client_ { context_,
@@ -98,6 +99,9 @@
                 toldLevel_ = load.called_.level_;
                 toldAge_ = load.called_.age_;
             },
+            [this](const std::string&, const std::string& owner) {
+                owner_ = owner;
+            },
             [this](const std::string&, bool) {
                 ++lost_;
             },
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -187,6 +187,9 @@
     events.onLoad_ = [this](const std::string& node, const GateLoad& load) {
         directory_.onLoad(node, load, Clock::now());
     };
+    events.onForeign_ = [this](const std::string& node, const std::string& owner) {
+        knowledge_->onAddressTaken(node, owner);
+    };
     events.onLost_ = [this](const std::string& node, bool wasOpen) {
         onLinkLost(node, wasOpen);
     };
@@ -326,7 +329,7 @@
 
 auto SidecarProcess::onLinkLost(const std::string& node, bool wasOpen) -> void
 {
-    directory_.onUnreachable(node);
+    directory_.onUnreachable(node, Clock::now());
     const auto* entry = directory_.find(node);
     if (wasOpen && entry != nullptr && entry->accepting_ && !stopping_) {
         links_.connect(*entry);
@@ -420,8 +423,13 @@
     case StopStep::Drain:
         stopAccepting();
         break;
+    case StopStep::Refuse:
+        stopAccepting();
+        entry_.refuseFurther();
+        break;
     case StopStep::Finish:
         stopAccepting();
+        entry_.refuseFurther();
         if (!std::exchange(listenerClosed_, true)) {
             callers_->stop();
         }
@@ -503,6 +511,9 @@
         gate_.tick();
         backendPool_->tick(now);
         links_.tick(now);
+        for (const auto& entry : directory_.takeDueProbes(now)) {
+            links_.connect(entry);
+        }
         callers_->tick(now);
         readiness_->tick(now);
         if (scraper_) {
@@ -515,9 +526,6 @@
     if (ticks_ % judgeTicks == 0) {
         gate_.judgeOrigins();
         gate_.setCallsMade(callsMade());
-        for (const auto& entry : directory_.unreachable()) {
-            links_.connect(entry);
-        }
         logLoad();
     }
     if (ticks_ % settingsTicks == 0 && platform_.settingsStamp_() != settingsStamp_) {
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -1,5 +1,6 @@
 #include "site_knowledge.h"
 
+#include "stale_entries.h"
 #include "wagtailhead/log.h"
 
 #include <algorithm>
@@ -19,6 +20,9 @@
 /// its backend server.
 constexpr Duration firstListDelay = milliseconds(2200);
 constexpr Duration roleCheckInterval = milliseconds(500);
+constexpr Duration staleCheckInterval = seconds(30);
+/// A node reads its own entry so often, in case that it has been removed while the node was out of reach.
+constexpr Duration ownCheckInterval = std::chrono::minutes(5);
 
 } // namespace
 
@@ -113,6 +117,7 @@
     if (!change.deleted_) {
         applyObject(change.object_);
     } else if (change.object_.name_ != options_.self_.node_) {
+        revisions_.erase(change.object_.name_);
         parts_.directory_.remove(change.object_.name_);
     } else {
         publisher_->onMissing();
@@ -132,6 +137,7 @@
         onOwnEntry(valueOf(entry));
         return;
     }
+    revisions_[object.name_] = object.revision_;
     onEntry(valueOf(entry));
 }
 
@@ -319,6 +325,46 @@
     }
 }
 
+auto SiteKnowledge::isFirstWatcher() const -> bool
+{
+    const auto first = storeWatchersOf(reachableNodes(), options_.self_.zone_, 1);
+    return watching_ && !first.empty() && first.front().node_ == options_.self_.node_;
+}
+
+auto SiteKnowledge::removeEntry(const std::string& node, const char* reason) -> void
+{
+    logEvent(LogLevel::Info, "node_removed", { { "peer", node }, { "reason", reason } });
+    const auto revision = revisions_.find(node);
+    const auto* entry = parts_.directory_.find(node);
+    const bool ownZone = entry != nullptr && entry->zone_ == options_.self_.zone_;
+    parts_.directory_.remove(node);
+    if (revision == revisions_.end() || !ownZone || !isFirstWatcher()) {
+        return;
+    }
+    // Under the revision that was seen: an entry that has been written since belongs to a node that lives.
+    parts_.store_.remove(
+        nodeKind, node, revision->second, [node](const std::variant<std::monostate, StoreError>& result) {
+            if (const auto* error = std::get_if<StoreError>(&result)) {
+                logEvent(LogLevel::Warning, "entry_removal_failed",
+                    { { "peer", node }, { "error", storeErrorName(*error) } });
+            }
+        });
+}
+
+auto SiteKnowledge::removeStaleEntries(TimePoint now) -> void
+{
+    for (const auto& node : staleNodes(parts_.directory_, options_.self_.zone_, now)) {
+        removeEntry(node, "out-of-reach");
+    }
+}
+
+auto SiteKnowledge::onAddressTaken(const std::string& node, const std::string& owner) -> void
+{
+    if (parts_.directory_.find(node) != nullptr && node != owner) {
+        removeEntry(node, "address-taken");
+    }
+}
+
 auto SiteKnowledge::tick(TimePoint now) -> void
 {
     if (!nodesKnown_) {
@@ -331,6 +377,16 @@
         nextRoleCheck_ = now + roleCheckInterval;
         updateRole(now);
     }
+    if (watching_ && now >= nextStaleCheck_) {
+        nextStaleCheck_ = now + staleCheckInterval;
+        removeStaleEntries(now);
+    }
+    if (now >= nextOwnCheck_) {
+        if (nextOwnCheck_ != TimePoint {} && published_) {
+            publisher_->check();
+        }
+        nextOwnCheck_ = now + ownCheckInterval;
+    }
     if (watching_ && now >= nextBeat_) {
         nextBeat_ = now + watchBeatInterval;
         tellZone(beat(), "");
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -53,6 +53,8 @@
     auto onState(const StateFrame& state) -> void;
     auto onEntry(const NodeEntry& entry) -> void;
     auto onBeat(const std::string& node, const BeatFrame& beat) -> void;
+    /// The address of `node` belongs to `owner` now, so the node is gone for good.
+    auto onAddressTaken(const std::string& node, const std::string& owner) -> void;
     /// Returns what a node that has this version of the configuration lacks.
     auto stateFor(std::uint64_t knownVersion) const -> StateFrame;
 
@@ -88,6 +90,9 @@
     auto tellZone(const Frame& frame, const std::string& exceptNode) -> void;
     auto reachableNodes() const -> std::vector<NodeEntry>;
     auto updateRole(TimePoint now) -> void;
+    auto removeStaleEntries(TimePoint now) -> void;
+    auto removeEntry(const std::string& node, const char* reason) -> void;
+    auto isFirstWatcher() const -> bool;
     auto beat() const -> BeatFrame;
 
     SiteKnowledgeOptions options_;
@@ -97,6 +102,7 @@
     std::shared_ptr<KindWatch> configurationWatch_;
     std::shared_ptr<KindWatch> nodeWatch_;
     std::optional<WatchRoles> roles_; ///< Set once the nodes are known.
+    std::map<std::string, std::uint64_t> revisions_; ///< Of other nodes' objects in the store.
     std::uint64_t generation_ = 0; ///< Greatest one seen of the own entry.
     bool nodesKnown_ = false;
     bool published_ = false;
@@ -105,6 +111,8 @@
     TimePoint nextStateRequest_;
     TimePoint nextRoleCheck_;
     TimePoint nextBeat_;
+    TimePoint nextStaleCheck_;
+    TimePoint nextOwnCheck_;
 };
 
 } // namespace wagtailhead
--- a/src/libsidecar/stop_sequence.cpp
+++ b/src/libsidecar/stop_sequence.cpp
@@ -14,6 +14,8 @@
 constexpr double servingPart = 0.375;
 /// A request that is taken later might not end before SIGKILL.
 constexpr double lastTakingPart = 0.55;
+/// From here on connections are closed, whatever is still in flight.
+constexpr double refusingPart = 0.8;
 constexpr double endPart = 0.87;
 /// The last responses and closed connections reach the callers in this time.
 constexpr Duration closingTime = milliseconds(150);
@@ -38,10 +40,13 @@
     }
     const bool takenLongEnough = spent > notice && backendRequests == 0;
     if (step_ == StopStep::Drain && (takenLongEnough || spent > partOf(stopTime_, lastTakingPart))) {
+        step_ = StopStep::Refuse;
+    }
+    const bool idle = requests == 0 && backendRequests == 0;
+    if (step_ == StopStep::Refuse && (idle || spent > partOf(stopTime_, refusingPart))) {
         step_ = StopStep::Finish;
         finishingSince_ = spent;
     }
-    const bool idle = requests == 0 && backendRequests == 0;
     if (step_ == StopStep::Finish
         && ((idle && spent - finishingSince_ > closingTime) || spent > partOf(stopTime_, endPart))) {
         step_ = StopStep::End;
--- a/src/libsidecar/stop_sequence.h
+++ b/src/libsidecar/stop_sequence.h
@@ -10,6 +10,7 @@
 enum class StopStep {
     Serve, ///< Callers may not have seen yet that the node is not ready; the backend server works on.
     Drain, ///< The backend server gets nothing new.
+    Refuse, ///< Further requests are refused at once, so that their callers come back later.
     Finish, ///< Takes no new connection and no further request; what is in flight goes on.
     End,
 };
--- a/src/libsidecar/store_sync_test.cpp
+++ b/src/libsidecar/store_sync_test.cpp
@@ -308,6 +308,22 @@
     cr_assert(isOk(parseEntry("n1", store.objects_["n1"].value_)));
 }
 
+Test(entry_publisher, an_entry_that_was_removed_is_written_again)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    auto publisher = std::make_shared<EntryPublisher>(context, store);
+    publisher->publish(entryOf(1), nullptr);
+    run(context, milliseconds(20));
+    publisher->check();
+    run(context, milliseconds(20));
+    cr_assert(store.writes_ == 1, "nothing to do");
+    store.objects_.clear();
+    publisher->check();
+    run(context, milliseconds(20));
+    cr_assert(store.objects_.count("n1") == 1);
+}
+
 Test(entry_publisher, refused_writes_are_repeated_slowly)
 {
     asio::io_context context;
