--- a/src/cmake/wagtailhead.cmake
+++ b/src/cmake/wagtailhead.cmake
@@ -2,6 +2,7 @@
 find_package(PkgConfig REQUIRED)
 find_package(Threads REQUIRED)
 find_package(CURL REQUIRED)
+find_package(ZLIB REQUIRED)
 find_package(nng CONFIG REQUIRED)
 find_package(nlohmann_json CONFIG REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED)
--- a/src/include/wagtailhead/sidecar.h
+++ b/src/include/wagtailhead/sidecar.h
@@ -26,6 +26,8 @@
     Address backend_;
     Address callers_; ///< Callers of this VM and the backend server's own calls.
     Address link_; ///< Other nodes.
+    /// What other nodes are told in place of link_, as behind address translation; port 0 for link_ itself.
+    Address announcedLink_;
     Address readiness_; ///< Readiness checks, metrics and the state dump.
     Address reports_; ///< Reports of the backend server.
     Address metrics_; ///< The scraper; port 0 if metrics are served on the readiness address only.
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -118,7 +118,7 @@
             [](const NodeEntry&) {}, [](const std::string&, const BeatFrame&) {},
             [](const std::string&, const GateLoad&) {}, [](const std::string&, const std::string&) {},
             [](const std::string&, bool) {}, [](const std::string&) {},
-            [](std::uint64_t) {
+            [](const StateRequestFrame&) {
                 return StateFrame {};
             } } };
     SiteConfigurationPtr configuration_ = makeConfiguration();
--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -184,7 +184,7 @@
     } else if (const auto* load = std::get_if<LoadFrame>(&frame)) {
         owner_.events_.onLoad_(node_, load->load_);
     } else if (const auto* request = std::get_if<StateRequestFrame>(&frame)) {
-        stream_->send(owner_.events_.state_(request->configVersion_));
+        stream_->send(owner_.events_.state_(*request));
     }
 }
 
@@ -385,9 +385,9 @@
     linkTo(node)->sendFence(++lastId_, std::move(frame), Clock::now() + timeout, std::move(callback));
 }
 
-auto LinkClient::requestState(const NodeEntry& node, std::uint64_t configVersion) -> void
+auto LinkClient::requestState(const NodeEntry& node, const StateRequestFrame& request) -> void
 {
-    linkTo(node)->send(StateRequestFrame { configVersion });
+    linkTo(node)->send(request);
 }
 
 auto LinkClient::connect(const NodeEntry& node) -> void
--- a/src/libsidecar/link_client.h
+++ b/src/libsidecar/link_client.h
@@ -42,7 +42,7 @@
     /// A link is open.
     std::function<void(const std::string& node)> onOpen_;
     /// What this node knows, for a node that asks.
-    std::function<StateFrame(std::uint64_t knownVersion)> state_;
+    std::function<StateFrame(const StateRequestFrame& request)> state_;
 };
 
 struct LinkStats {
@@ -74,8 +74,8 @@
     auto fence(const NodeEntry& node, std::uint64_t incarnation, const std::string& attemptId,
         Duration timeout, FenceCallback callback) -> void;
 
-    /// Asks a node for its configuration and entries; the answer goes to `onState_`.
-    auto requestState(const NodeEntry& node, std::uint64_t configVersion) -> void;
+    /// Asks a node for what it knows; the answer goes to `onState_`.
+    auto requestState(const NodeEntry& node, const StateRequestFrame& request) -> void;
 
     /// Opens the link to a node unless it is open or being opened.
     auto connect(const NodeEntry& node) -> void;
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -188,7 +188,7 @@
 
 auto pack(StringStream& stream, const StateRequestFrame& frame) -> void
 {
-    packAll(stream, typeNumber<StateRequestFrame>(), frame.configVersion_);
+    packAll(stream, typeNumber<StateRequestFrame>(), frame.configVersion_, frame.wantsEntries_);
 }
 
 auto pack(StringStream& stream, const StateFrame& frame) -> void
@@ -197,7 +197,7 @@
     constexpr std::uint32_t fieldCount = 3;
     packer.pack_array(fieldCount);
     packer.pack(typeNumber<StateFrame>());
-    packer.pack(frame.configText_);
+    packer.pack(frame.config_);
     packer.pack_array(static_cast<std::uint32_t>(frame.entries_.size()));
     for (const auto& entry : frame.entries_) {
         packEntry(packer, entry);
@@ -301,10 +301,18 @@
     return frame;
 }
 
+auto readStateRequest(ArrayReader& reader) -> StateRequestFrame
+{
+    StateRequestFrame frame;
+    frame.configVersion_ = reader.next<std::uint64_t>();
+    frame.wantsEntries_ = reader.next<bool>();
+    return frame;
+}
+
 auto readState(ArrayReader& reader) -> StateFrame
 {
     StateFrame frame;
-    frame.configText_ = reader.next<std::string>();
+    frame.config_ = reader.next<std::string>();
     auto entries = reader.nextArray();
     while (entries.left() > 0) {
         frame.entries_.push_back(readEntry(entries.nextArray()));
@@ -345,7 +353,7 @@
     case typeNumber<PongFrame>():
         return PongFrame {};
     case typeNumber<StateRequestFrame>():
-        return StateRequestFrame { reader.next<std::uint64_t>() };
+        return readStateRequest(reader);
     case typeNumber<StateFrame>():
         return readState(reader);
     case typeNumber<EntryFrame>():
--- a/src/libsidecar/link_frames.h
+++ b/src/libsidecar/link_frames.h
@@ -53,11 +53,14 @@
 /// Asks for what the other node knows.
 struct StateRequestFrame {
     std::uint64_t configVersion_ = 0; ///< Of the asking node; the text comes only if it is older.
+    bool wantsEntries_ = false;
 };
 
 struct StateFrame {
-    std::string configText_; ///< Empty if the asking node's version is as new.
-    std::vector<NodeEntry> entries_;
+    /// Compressed text of the configuration; empty if the asking node's version is as new. It holds up to a
+    /// megabyte, and many nodes ask for it at once.
+    std::string config_;
+    std::vector<NodeEntry> entries_; ///< Empty unless asked for.
 };
 
 /// A changed entry of the sender.
--- a/src/libsidecar/link_server.cpp
+++ b/src/libsidecar/link_server.cpp
@@ -75,7 +75,7 @@
         } });
     stream_->send(HelloFrame { parts_.node_, parts_.incarnation_, parts_.configVersion_() });
     if (parts_.lacksState_()) {
-        stream_->send(StateRequestFrame { parts_.configVersion_() });
+        stream_->send(StateRequestFrame { parts_.configVersion_(), true });
     }
 }
 
@@ -97,7 +97,7 @@
     } else if (std::holds_alternative<PingFrame>(frame)) {
         stream_->send(PongFrame {});
     } else if (const auto* request = std::get_if<StateRequestFrame>(&frame)) {
-        stream_->send(parts_.state_(request->configVersion_));
+        stream_->send(parts_.state_(*request));
     } else if (const auto* entry = std::get_if<EntryFrame>(&frame)) {
         parts_.onEntry_(entry->entry_);
     } else if (const auto* beat = std::get_if<BeatFrame>(&frame)) {
--- a/src/libsidecar/link_server.h
+++ b/src/libsidecar/link_server.h
@@ -15,7 +15,7 @@
     std::uint64_t incarnation_ = 0; ///< Of this process.
     Gate& gate_;
     std::function<std::uint64_t()> configVersion_;
-    std::function<StateFrame(std::uint64_t knownVersion)> state_;
+    std::function<StateFrame(const StateRequestFrame& request)> state_;
     std::function<void(const NodeEntry& entry)> onEntry_;
     std::function<void(const std::string& node, const BeatFrame& beat)> onBeat_;
     /// Whether this node lacks the configuration or the entries; it then asks the nodes that call it.
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -35,7 +35,7 @@
                 [] {
                     return std::uint64_t { 3 };
                 },
-                [](std::uint64_t) {
+                [](const StateRequestFrame&) {
                     return StateFrame { "text", {} };
                 },
                 [](const NodeEntry&) {},
@@ -47,7 +47,7 @@
                     return lacksState_;
                 },
                 [this](const StateFrame& state) {
-                    learned_ = state.configText_;
+                    learned_ = state.config_;
                 } });
         cr_assert(isOk(opened));
         server_ = valueOf(std::move(opened));
@@ -89,7 +89,7 @@
                 version_ = version;
             },
             [this](const std::string&, const StateFrame& state) {
-                state_ = state.configText_;
+                state_ = state.config_;
             },
             [](const NodeEntry&) {},
             [this](const std::string&, const BeatFrame& beat) {
@@ -106,7 +106,7 @@
                 ++lost_;
             },
             [](const std::string&) {},
-            [](std::uint64_t) {
+            [](const StateRequestFrame&) {
                 return StateFrame { "from the caller", {} };
             } } };
 };
@@ -262,7 +262,7 @@
 Test(link, state_comes_on_request)
 {
     World world;
-    world.client_.requestState(world.node_, 0);
+    world.client_.requestState(world.node_, { 0, true });
     cr_assert(world.runUntil([&] {
         return world.state_ == "text";
     }));
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -142,7 +142,7 @@
     self.zone_ = settings_.zone_;
     self.region_ = settings_.region_;
     self.service_ = settings_.service_;
-    self.link_ = settings_.link_;
+    self.link_ = settings_.announcedLink_.port_ != 0 ? settings_.announcedLink_ : settings_.link_;
     return std::make_unique<SiteKnowledge>(
         SiteKnowledgeOptions { std::move(self), incarnation_, settings_.firstStart_, settings_.seed_ + 2 },
         SiteKnowledgeParts { .context_ = context_,
@@ -196,8 +196,8 @@
     events.onOpen_ = [this](const std::string& node) {
         directory_.onReachable(node);
     };
-    events.state_ = [this](std::uint64_t known) {
-        return knowledge_->stateFor(known);
+    events.state_ = [this](const StateRequestFrame& request) {
+        return knowledge_->stateFor(request);
     };
     return events;
 }
@@ -212,8 +212,8 @@
                 return knowledge_->version();
             },
         .state_ =
-            [this](std::uint64_t known) {
-                return knowledge_->stateFor(known);
+            [this](const StateRequestFrame& request) {
+                return knowledge_->stateFor(request);
             },
         .onEntry_ =
             [this](const NodeEntry& entry) {
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -1,6 +1,7 @@
 #include "site_knowledge.h"
 
 #include "stale_entries.h"
+#include "wagtailhead/compression.h"
 #include "wagtailhead/log.h"
 
 #include <algorithm>
@@ -10,8 +11,8 @@
 
 namespace {
 
-/// A node behind in configuration asks a peer at most this often.
-constexpr Duration stateRequestInterval = milliseconds(300);
+/// The store holds values of up to a megabyte.
+constexpr std::size_t mostConfigurationBytes = std::size_t { 16 } << 20;
 /// How long changes are collected before the store is watched again. Nodes also tell each other about
 /// changed entries.
 constexpr Duration configurationBatch = milliseconds(200);
@@ -85,6 +86,8 @@
         { { "source", source }, { "version", configuration->version() }, { "before", version() },
             { "routes", configuration->routes().size() } });
     configuration_ = configuration;
+    compressedConfiguration_ = compressText(text);
+    newerVersions_.onAdopted(version());
     configurationWatch_->skipList();
     parts_.onConfiguration_(*configuration);
     parts_.broadcast_(beat());
@@ -255,15 +258,31 @@
     return nodes;
 }
 
+auto SiteKnowledge::proximityOf(const NodeEntry& entry) const -> Proximity
+{
+    if (entry.region_ != options_.self_.region_) {
+        return Proximity::Elsewhere;
+    }
+    return entry.zone_ == options_.self_.zone_ ? Proximity::Zone : Proximity::Region;
+}
+
 auto SiteKnowledge::onPeerVersion(const std::string& node, std::uint64_t peerVersion) -> void
 {
-    const auto now = Clock::now();
-    if (peerVersion <= version() || now < nextStateRequest_) {
+    const auto* entry = parts_.directory_.find(node);
+    if (peerVersion <= version() || entry == nullptr) {
         return;
     }
-    nextStateRequest_ = now + stateRequestInterval;
-    if (const auto* entry = parts_.directory_.find(node)) {
-        parts_.links_.requestState(*entry, version());
+    const auto now = Clock::now();
+    newerVersions_.onVersion(node, proximityOf(*entry), peerVersion, version(), now);
+    askForConfiguration(now);
+}
+
+auto SiteKnowledge::askForConfiguration(TimePoint now) -> void
+{
+    const auto node = newerVersions_.takeNext(now);
+    const auto* entry = node ? parts_.directory_.find(*node) : nullptr;
+    if (entry != nullptr) {
+        parts_.links_.requestState(*entry, { version(), false });
     }
 }
 
@@ -278,8 +297,14 @@
 
 auto SiteKnowledge::onState(const StateFrame& state) -> void
 {
-    if (!state.configText_.empty()) {
-        adopt(state.configText_, "peer");
+    if (!state.config_.empty()) {
+        const auto text = decompressText(state.config_, mostConfigurationBytes);
+        if (isOk(text)) {
+            adopt(valueOf(text), "peer");
+        } else {
+            logEvent(LogLevel::Error, "configuration_refused",
+                { { "source", "peer" }, { "error", errorOf(text).text_ } });
+        }
     }
     for (const auto& entry : state.entries_) {
         onEntry(entry);
@@ -292,13 +317,15 @@
     }
 }
 
-auto SiteKnowledge::stateFor(std::uint64_t knownVersion) const -> StateFrame
+auto SiteKnowledge::stateFor(const StateRequestFrame& request) const -> StateFrame
 {
     StateFrame state;
-    if (configuration_ && knownVersion < version()) {
-        state.configText_ = configuration_->text();
+    if (configuration_ && request.configVersion_ < version()) {
+        state.config_ = compressedConfiguration_;
+    }
+    if (request.wantsEntries_) {
+        state.entries_ = parts_.directory_.entries();
     }
-    state.entries_ = parts_.directory_.entries();
     return state;
 }
 
@@ -367,6 +394,7 @@
 
 auto SiteKnowledge::tick(TimePoint now) -> void
 {
+    askForConfiguration(now);
     if (!nodesKnown_) {
         return;
     }
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -4,6 +4,7 @@
 #include "entry_publisher.h"
 #include "kind_watch.h"
 #include "link_client.h"
+#include "newer_versions.h"
 #include "wagtailhead/sidecar.h"
 #include "watch_roles.h"
 
@@ -55,8 +56,8 @@
     auto onBeat(const std::string& node, const BeatFrame& beat) -> void;
     /// The address of `node` belongs to `owner` now, so the node is gone for good.
     auto onAddressTaken(const std::string& node, const std::string& owner) -> void;
-    /// Returns what a node that has this version of the configuration lacks.
-    auto stateFor(std::uint64_t knownVersion) const -> StateFrame;
+    /// Returns what a node that asks lacks.
+    auto stateFor(const StateRequestFrame& request) const -> StateFrame;
 
     /// The configuration in force, or null.
     auto configuration() const -> const SiteConfigurationPtr&
@@ -84,6 +85,8 @@
     auto onNodeList(const std::vector<StoredObject>& objects) -> void;
     auto onNodeChange(const StoredChange& change) -> void;
     auto applyObject(const StoredObject& object) -> void;
+    auto proximityOf(const NodeEntry& entry) const -> Proximity;
+    auto askForConfiguration(TimePoint now) -> void;
     auto onOwnEntry(const NodeEntry& entry) -> void;
     auto ownEntry() const -> NodeEntry;
     auto announce(const NodeEntry& entry) -> void;
@@ -98,6 +101,8 @@
     SiteKnowledgeOptions options_;
     SiteKnowledgeParts parts_;
     SiteConfigurationPtr configuration_;
+    std::string compressedConfiguration_; ///< Its text.
+    NewerVersions newerVersions_;
     std::shared_ptr<EntryPublisher> publisher_;
     std::shared_ptr<KindWatch> configurationWatch_;
     std::shared_ptr<KindWatch> nodeWatch_;
@@ -108,7 +113,6 @@
     bool published_ = false;
     bool accepting_ = true;
     bool watching_ = false;
-    TimePoint nextStateRequest_;
     TimePoint nextRoleCheck_;
     TimePoint nextBeat_;
     TimePoint nextStaleCheck_;
--- a/src/libsidecar/site_knowledge_test.cpp
+++ b/src/libsidecar/site_knowledge_test.cpp
@@ -1,6 +1,7 @@
 /// What a node learns from the store and from other nodes, and what it tells them.
 #include "site_knowledge.h"
 #include "stale_entries.h"
+#include "wagtailhead/compression.h"
 
 #include <asio/io_context.hpp>
 #include <criterion/criterion.h>
@@ -162,12 +163,13 @@
 {
     World world;
     world.store_.answerList("config", { { "main", 4, "7" }, { "other", 4, "9" } });
-    world.knowledge_->onState({ "6", {} });
-    world.knowledge_->onState({ "bad", {} });
-    world.knowledge_->onState({ "8", {} });
+    world.knowledge_->onState({ compressText("6"), {} });
+    world.knowledge_->onState({ compressText("bad"), {} });
+    world.knowledge_->onState({ "not compressed", {} });
+    world.knowledge_->onState({ compressText("8"), {} });
     cr_assert(world.adopted_ == (std::vector<std::uint64_t> { 7, 8 }));
-    cr_assert(world.knowledge_->stateFor(7).configText_ == "8");
-    cr_assert(world.knowledge_->stateFor(8).configText_.empty());
+    cr_assert(valueOf(decompressText(world.knowledge_->stateFor({ 7, false }).config_, 100)) == "8");
+    cr_assert(world.knowledge_->stateFor({ 8, true }).config_.empty());
 }
 
 Test(site_knowledge, a_node_that_the_store_turns_away_learns_from_a_peer)
@@ -176,7 +178,7 @@
     cr_assert(!world.knowledge_->areNodesKnown());
     auto draining = entryOf("self", 900);
     draining.phase_ = BackendPhase::Draining;
-    world.knowledge_->onState({ "7", { entryOf("n1", 1), draining } });
+    world.knowledge_->onState({ compressText("7"), { entryOf("n1", 1), draining } });
     cr_assert(world.knowledge_->areNodesKnown() && world.knowledge_->version() == 7);
     cr_assert(world.directory_.find("n1") != nullptr);
     cr_assert(
--- a/src/wagtailhead-sidecar/main.cpp
+++ b/src/wagtailhead-sidecar/main.cpp
@@ -19,6 +19,8 @@
 
 Options: (environment variables WAGTAILHEAD_<OPTION> are read as defaults)
   --log-level=LEVEL  debug, info, warning or error [info if not set].
+  --announce-link=ADDR  Address (a.b.c.d:port) that other nodes are told for their links, if it differs from
+                     the one that this node listens at.
   --metrics-port=N   Port of this machine where metrics are served at /metrics as well; 0 or unset: only at
                      the readiness address.
   --seed=N           Seed of all random choices; 0 or unset takes one from the system.
@@ -41,6 +43,9 @@
     log.buffered_ = true;
     initLog(program, log);
     settings.seed_ = static_cast<std::uint64_t>(require(program, flags.integer("seed", 0, 0, INT64_MAX)));
+    if (const auto announced = flags.find("announce-link")) {
+        settings.announcedLink_ = require(program, parseAddress(*announced));
+    }
     constexpr int mostPort = 65535;
     const auto metricsPort = require(program, flags.integer("metrics-port", 0, 0, mostPort));
     settings.metrics_ = { settings.readiness_.ip_, static_cast<std::uint16_t>(metricsPort) };
