--- a/testsuite/soak/clients.py
+++ b/testsuite/soak/clients.py
@@ -21,9 +21,9 @@
         self.kept = None  # (reader, writer, idle since)
         self.leaves_early = 0.0
 
-    async def run(self, until, pause_s):
-        """Sends requests until a time."""
-        while now() < until:
+    async def run(self, goes_on, pause_s):
+        """Sends requests as long as `goes_on()` holds."""
+        while goes_on():
             await asyncio.sleep(self.random.expovariate(1 / pause_s))
             if self.machine.takes_callers:
                 await self.request(self.random.choice(self.site.caller_routes))
--- a/testsuite/soak/http_codec.py
+++ b/testsuite/soak/http_codec.py
@@ -119,14 +119,8 @@
 
 async def serve(address, handler):
     """Starts a server that calls `handler(reader, writer)` for each connection."""
-    async def guarded(reader, writer):
-        try:
-            await handler(reader, writer)
-        except asyncio.CancelledError:  # The run ends; asyncio would report the cancelled task as an error.
-            abort(writer)
-
     host, port = split_address(address)
-    return await asyncio.start_server(guarded, host, port, limit=HEADER_LIMIT, reuse_address=True, backlog=512)
+    return await asyncio.start_server(handler, host, port, limit=HEADER_LIMIT, reuse_address=True, backlog=512)
 
 
 async def call(address, method, target, body=b"", timeout=1.0):
--- a/testsuite/soak/relay.py
+++ b/testsuite/soak/relay.py
@@ -34,8 +34,14 @@
                     abort(writer)
 
     def silence_open(self):
-        """Open connections carry nothing more, new ones work."""
-        self.dead.update(self.pairs)
+        """Open connections carry nothing more, new ones work. Returns the connections."""
+        silenced = set(self.pairs)
+        self.dead.update(silenced)
+        return silenced
+
+    def resume(self, pairs):
+        """What was held up on these connections goes on its way."""
+        self.dead.difference_update(pairs)
 
     async def connection(self, reader, writer):
         """Passes one connection on."""
@@ -55,7 +61,7 @@
             await asyncio.wait({forward, back})
         finally:
             self.pairs.discard(pair)
-            self.dead.discard(pair)
+            self.dead.discard(pair)  # Nobody else knows the pair any more.
 
     async def pump(self, reader, writer, pair, answers):
         """Passes bytes on in one direction."""
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -27,6 +27,7 @@
             (1, "link_reset", node(self.link_reset)), (1, "link_delay", link("delay_s", 0.05)),
             (1, "link_cut", link("refuses", True)), (1, "link_silent", link("silent", True)),
             (1, "link_one_way", link("one_way", True)), (1, "link_forgets", node(self.link_forgets)),
+            (2, "links_stall", self.links_stall),
             (1, "store_busy", store("down", "busy")), (1, "store_silent", store("down", "silent")),
             (1, "store_reset", store("down", "reset")), (1, "store_slow", store("delay_s", 0.8)),
             (1, "store_lost", store("lose_writes", 0.5)), (1, "store_late", self.store_late),
@@ -178,6 +179,16 @@
         machine.link_relay.silence_open()
         disturbance.end = now()
 
+    async def links_stall(self, luck):
+        """What is under way over open links arrives after its sender has given it up and asked over a new one."""
+        disturbance = self.world.record.begin("link")
+        chosen = [machine.link_relay for machine in self.world.machines if luck.random() < 0.5]
+        silenced = [(relay, relay.silence_open()) for relay in chosen]
+        await asyncio.sleep(luck.uniform(1.3, 1.9))
+        for relay, pairs in silenced:
+            relay.resume(pairs)
+        disturbance.end = now()
+
     async def store_cut(self, machine, luck):
         """One machine does not reach the store."""
         attribute = luck.choice(("refuses", "silent"))
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -53,8 +53,16 @@
     print(f"  store    {world.store.calls}")
 
 
+def report_unless_cancelled(loop, context):
+    """Handles errors of tasks that nobody awaits. Connections that are open at the end are cancelled, which asyncio
+    would report as an error of each."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 async def play(chosen, seed, folder):
     """Plays one run. Returns whether nothing was found."""
+    asyncio.get_running_loop().set_exception_handler(report_unless_cancelled)
     world = World(seed, chosen.nodes, folder, os.path.join(os.path.abspath(chosen.bin_dir), "wagtailhead-sidecar"))
     try:
         await world.start()
--- a/testsuite/soak/world.py
+++ b/testsuite/soak/world.py
@@ -94,14 +94,16 @@
     async def play(self, length_s, quiet_s, fault_pause_s, request_pause_s):
         """Plays faults for a while and then none. Returns the schedule and when the quiet end began to count."""
         watchers = [asyncio.ensure_future(self.watch_machine(machine)) for machine in self.machines]
-        end = now() + length_s + quiet_s
-        callers = [asyncio.ensure_future(caller.run(end, request_pause_s)) for caller in self.callers]
+        callers = [asyncio.ensure_future(caller.run(lambda: self.watching, request_pause_s))
+                   for caller in self.callers]
         schedule = Schedule(self, self.seed)
         if fault_pause_s:
             await schedule.run(now() + length_s, fault_pause_s)
             await schedule.finish()
+        else:
+            await asyncio.sleep(length_s)
         recovery_from = now() + quiet_s / 2
-        await asyncio.sleep(max(end, recovery_from + quiet_s / 2) - now())
+        await asyncio.sleep(quiet_s)
         self.watching = False
         await asyncio.gather(*callers, *watchers)
         return schedule, recovery_from
