fix(sidecar): nodes of a zone compare what they know; a node that is gone is remembered as gone

Backend servers report one after the other at a first start, so the first list was incomplete; a watching node tells only changes, and never those that it had learned before it knew the node. Change: beats carry a digest of the entries; a node whose digest differs twice in a row asks for all entries and tells back what it knows better. A node that goes is kept as gone under a newer generation for ten minutes, so that it is not brought back. An opening link tells the entry of its node. Ruled out: a longer wait for the first list, since the time depends on the number of backend servers.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -90,7 +90,15 @@
 
     /// Takes an entry unless a newer generation is known. Returns whether anything changed.
     auto apply(const NodeEntry& entry) -> bool;
-    auto remove(const std::string& node) -> void;
+    /// A node is gone for good. Its entry is kept as gone for a while, under a newer generation, so that
+    /// nodes that have not heard of it do not bring it back; a node that lives after all outdoes it. Returns
+    /// that entry, or nothing if the node is not known or gone already.
+    auto retire(const std::string& node, TimePoint now) -> std::optional<NodeEntry>;
+    /// Forgets what has been gone for long. Call it now and then.
+    auto purge(TimePoint now) -> void;
+
+    /// Returns a number that is the same on nodes that know the same entries but for those that are gone.
+    auto digest() const -> std::uint64_t;
 
     auto find(const std::string& node) const -> const NodeEntry*;
     auto entries() const -> std::vector<NodeEntry>;
@@ -155,6 +163,7 @@
         bool unreachable_ = false;
         TimePoint unreachableSince_;
         TimePoint nextProbe_;
+        std::optional<TimePoint> retiredAt_;
         Duration probeInterval_ {};
     };
 
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cmath>
 #include <utility>
+#include <xxhash.h>
 
 namespace wagtailhead {
 
@@ -41,6 +42,8 @@
 /// A node out of reach is tried again after the first interval, which doubles up to the longest.
 constexpr Duration firstProbeInterval = milliseconds(250);
 constexpr Duration longestProbeInterval = seconds(2);
+/// How long a node that is gone is remembered; by then every node has heard of it.
+constexpr Duration retiredLife = std::chrono::minutes(10);
 /// The capacity that is assumed until a report names it.
 constexpr int assumedCapacity = 50;
 
@@ -80,6 +83,7 @@
     if (known.entry_.node_.empty() || entry.generation_ > known.entry_.generation_) {
         const bool newBackend = known.entry_.backendId_ != entry.backendId_
             || known.entry_.backendBornMs_ != entry.backendBornMs_;
+        known.retiredAt_.reset();
         const bool moved = known.entry_.service_ != entry.service_ || known.entry_.node_.empty();
         known.entry_ = entry;
         if (moved) {
@@ -97,10 +101,39 @@
     return false;
 }
 
-auto Directory::remove(const std::string& node) -> void
+auto Directory::retire(const std::string& node, TimePoint now) -> std::optional<NodeEntry>
 {
-    nodes_.erase(node);
-    indexServices();
+    const auto found = nodes_.find(node);
+    if (found == nodes_.end() || found->second.retiredAt_) {
+        return std::nullopt;
+    }
+    auto& known = found->second;
+    known.entry_.phase_ = BackendPhase::Gone;
+    known.entry_.accepting_ = false;
+    ++known.entry_.generation_;
+    known.retiredAt_ = now;
+    return known.entry_;
+}
+
+auto Directory::purge(TimePoint now) -> void
+{
+    const auto count = std::erase_if(nodes_, [now](const auto& item) {
+        return item.second.retiredAt_ && now - *item.second.retiredAt_ > retiredLife;
+    });
+    if (count > 0) {
+        indexServices();
+    }
+}
+
+auto Directory::digest() const -> std::uint64_t
+{
+    std::uint64_t sum = 0;
+    for (const auto& [name, known] : nodes_) {
+        if (known.entry_.phase_ != BackendPhase::Gone) {
+            sum += XXH64(name.data(), name.size(), known.entry_.generation_);
+        }
+    }
+    return sum;
 }
 
 auto Directory::indexServices() -> void
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -222,7 +222,8 @@
 
 auto pack(StringStream& stream, const BeatFrame& frame) -> void
 {
-    packAll(stream, typeNumber<BeatFrame>(), frame.configVersion_, frame.watching_, frame.storeReachable_);
+    packAll(stream, typeNumber<BeatFrame>(), frame.configVersion_, frame.watching_, frame.storeReachable_,
+        frame.entriesDigest_);
 }
 
 auto readBeat(ArrayReader& reader) -> BeatFrame
@@ -231,6 +232,7 @@
     frame.configVersion_ = reader.next<std::uint64_t>();
     frame.watching_ = reader.next<bool>();
     frame.storeReachable_ = reader.next<bool>();
+    frame.entriesDigest_ = reader.next<std::uint64_t>();
     return frame;
 }
 
--- a/src/libsidecar/link_frames.h
+++ b/src/libsidecar/link_frames.h
@@ -74,6 +74,7 @@
     std::uint64_t configVersion_ = 0;
     bool watching_ = false;
     bool storeReachable_ = false;
+    std::uint64_t entriesDigest_ = 0; ///< See Directory::digest().
 };
 
 /// The load of the sender's gate, told without a call while it refuses requests.
--- a/src/libsidecar/link_server.cpp
+++ b/src/libsidecar/link_server.cpp
@@ -74,6 +74,9 @@
             }
         } });
     stream_->send(HelloFrame { parts_.node_, parts_.incarnation_, parts_.configVersion_() });
+    if (const auto entry = parts_.ownEntry_()) {
+        stream_->send(EntryFrame { *entry });
+    }
     if (parts_.lacksState_()) {
         stream_->send(StateRequestFrame { parts_.configVersion_(), true });
     }
@@ -103,7 +106,7 @@
     } else if (const auto* beat = std::get_if<BeatFrame>(&frame)) {
         parts_.onBeat_(callerNode_, *beat);
     } else if (const auto* state = std::get_if<StateFrame>(&frame)) {
-        parts_.onState_(*state);
+        parts_.onState_(callerNode_, *state);
     }
 }
 
--- a/src/libsidecar/link_server.h
+++ b/src/libsidecar/link_server.h
@@ -7,6 +7,7 @@
 #include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace wagtailhead {
 
@@ -20,7 +21,9 @@
     std::function<void(const std::string& node, const BeatFrame& beat)> onBeat_;
     /// Whether this node lacks the configuration or the entries; it then asks the nodes that call it.
     std::function<bool()> lacksState_;
-    std::function<void(const StateFrame& state)> onState_;
+    std::function<void(const std::string& node, const StateFrame& state)> onState_;
+    /// The entry of this node, or nothing before it has one; told when a link opens.
+    std::function<std::optional<NodeEntry>()> ownEntry_;
 };
 
 /// All members and callbacks run in the context's single thread.
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -175,8 +175,8 @@
     events.onConfigVersion_ = [this](const std::string& node, std::uint64_t version) {
         knowledge_->onPeerVersion(node, version);
     };
-    events.onState_ = [this](const std::string&, const StateFrame& state) {
-        knowledge_->onState(state);
+    events.onState_ = [this](const std::string& node, const StateFrame& state) {
+        knowledge_->onState(node, state);
     };
     events.onEntry_ = [this](const NodeEntry& entry) {
         knowledge_->onEntry(entry);
@@ -228,8 +228,12 @@
                 return !knowledge_->configuration() || !knowledge_->areNodesKnown();
             },
         .onState_ =
-            [this](const StateFrame& state) {
-                knowledge_->onState(state);
+            [this](const std::string& node, const StateFrame& state) {
+                knowledge_->onState(node, state);
+            },
+        .ownEntry_ =
+            [this] {
+                return knowledge_->publishedEntry();
             } };
 }
 
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -21,6 +21,8 @@
 /// its backend server.
 constexpr Duration firstListDelay = milliseconds(2200);
 constexpr Duration roleCheckInterval = milliseconds(500);
+/// Nodes whose entries differ ask for all of them at most this often.
+constexpr Duration entriesRequestInterval = seconds(2);
 constexpr Duration staleCheckInterval = seconds(30);
 /// A node reads its own entry so often, in case that it has been removed while the node was out of reach.
 constexpr Duration ownCheckInterval = std::chrono::minutes(5);
@@ -105,7 +107,7 @@
     }
     for (const auto& entry : parts_.directory_.entries()) {
         if (entry.node_ != options_.self_.node_ && names.count(entry.node_) == 0) {
-            parts_.directory_.remove(entry.node_);
+            retire(entry.node_);
         }
     }
     if (names.count(options_.self_.node_) == 0) {
@@ -121,7 +123,7 @@
         applyObject(change.object_);
     } else if (change.object_.name_ != options_.self_.node_) {
         revisions_.erase(change.object_.name_);
-        parts_.directory_.remove(change.object_.name_);
+        retire(change.object_.name_);
     } else {
         publisher_->onMissing();
         publish(nullptr);
@@ -292,10 +294,11 @@
     const auto* entry = parts_.directory_.find(node);
     if (roles_ && beat.watching_ && entry != nullptr && entry->zone_ == options_.self_.zone_) {
         roles_->onBeat(node, beat.storeReachable_, Clock::now());
+        compareEntries(node, beat.entriesDigest_, Clock::now());
     }
 }
 
-auto SiteKnowledge::onState(const StateFrame& state) -> void
+auto SiteKnowledge::onState(const std::string& node, const StateFrame& state) -> void
 {
     if (!state.config_.empty()) {
         const auto text = decompressText(state.config_, mostConfigurationBytes);
@@ -315,6 +318,56 @@
         nodeWatch_->skipList();
         publish(nullptr);
     }
+    if (!state.entries_.empty()) {
+        tellWhatIsNewer(node, state);
+    }
+}
+
+auto SiteKnowledge::tellWhatIsNewer(const std::string& node, const StateFrame& state) -> void
+{
+    const auto* asked = parts_.directory_.find(node);
+    if (asked == nullptr) {
+        return;
+    }
+    std::map<std::string, std::uint64_t> generations;
+    for (const auto& entry : state.entries_) {
+        generations[entry.node_] = entry.generation_;
+    }
+    for (const auto& entry : parts_.directory_.entries()) {
+        if (entry.generation_ > generations[entry.node_]) {
+            parts_.links_.tell(*asked, EntryFrame { entry });
+        }
+    }
+}
+
+auto SiteKnowledge::publishedEntry() const -> std::optional<NodeEntry>
+{
+    const auto* entry = parts_.directory_.find(options_.self_.node_);
+    return entry == nullptr ? std::nullopt : std::optional(*entry);
+}
+
+auto SiteKnowledge::retire(const std::string& node) -> void
+{
+    const auto entry = parts_.directory_.retire(node, Clock::now());
+    if (entry && watching_) {
+        tellZone(EntryFrame { *entry }, node);
+    }
+}
+
+auto SiteKnowledge::compareEntries(const std::string& node, std::uint64_t digest, TimePoint now) -> void
+{
+    if (digest == parts_.directory_.digest()) {
+        differentDigests_ = 0;
+        return;
+    }
+    ++differentDigests_;
+    const auto* entry = parts_.directory_.find(node);
+    // A change that is still on its way makes one difference.
+    if (differentDigests_ >= 2 && now >= nextEntriesRequest_ && entry != nullptr) {
+        nextEntriesRequest_ = now + entriesRequestInterval;
+        logEvent(LogLevel::Info, "entries_differ", { { "peer", node } });
+        parts_.links_.requestState(*entry, { version(), true });
+    }
 }
 
 auto SiteKnowledge::stateFor(const StateRequestFrame& request) const -> StateFrame
@@ -331,7 +384,7 @@
 
 auto SiteKnowledge::beat() const -> BeatFrame
 {
-    return { version(), watching_, configurationWatch_->isReachable() };
+    return { version(), watching_, configurationWatch_->isReachable(), parts_.directory_.digest() };
 }
 
 auto SiteKnowledge::updateRole(TimePoint now) -> void
@@ -364,7 +417,7 @@
     const auto revision = revisions_.find(node);
     const auto* entry = parts_.directory_.find(node);
     const bool ownZone = entry != nullptr && entry->zone_ == options_.self_.zone_;
-    parts_.directory_.remove(node);
+    retire(node);
     if (revision == revisions_.end() || !ownZone || !isFirstWatcher()) {
         return;
     }
@@ -405,9 +458,12 @@
         nextRoleCheck_ = now + roleCheckInterval;
         updateRole(now);
     }
-    if (watching_ && now >= nextStaleCheck_) {
+    if (now >= nextStaleCheck_) {
         nextStaleCheck_ = now + staleCheckInterval;
-        removeStaleEntries(now);
+        parts_.directory_.purge(now);
+        if (watching_) {
+            removeStaleEntries(now);
+        }
     }
     if (now >= nextOwnCheck_) {
         if (nextOwnCheck_ != TimePoint {} && published_) {
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -51,11 +51,13 @@
     auto stopAccepting() -> void;
 
     auto onPeerVersion(const std::string& node, std::uint64_t version) -> void;
-    auto onState(const StateFrame& state) -> void;
+    auto onState(const std::string& node, const StateFrame& state) -> void;
     auto onEntry(const NodeEntry& entry) -> void;
     auto onBeat(const std::string& node, const BeatFrame& beat) -> void;
     /// The address of `node` belongs to `owner` now, so the node is gone for good.
     auto onAddressTaken(const std::string& node, const std::string& owner) -> void;
+    /// Returns the entry of this node as it has been published last, or nothing.
+    auto publishedEntry() const -> std::optional<NodeEntry>;
     /// Returns what a node that asks lacks.
     auto stateFor(const StateRequestFrame& request) const -> StateFrame;
 
@@ -93,6 +95,9 @@
     auto tellZone(const Frame& frame, const std::string& exceptNode) -> void;
     auto reachableNodes() const -> std::vector<NodeEntry>;
     auto updateRole(TimePoint now) -> void;
+    auto retire(const std::string& node) -> void;
+    auto compareEntries(const std::string& node, std::uint64_t digest, TimePoint now) -> void;
+    auto tellWhatIsNewer(const std::string& node, const StateFrame& state) -> void;
     auto removeStaleEntries(TimePoint now) -> void;
     auto removeEntry(const std::string& node, const char* reason) -> void;
     auto isFirstWatcher() const -> bool;
@@ -113,6 +118,8 @@
     bool published_ = false;
     bool accepting_ = true;
     bool watching_ = false;
+    int differentDigests_ = 0; ///< In a row, of nodes that watch for this zone.
+    TimePoint nextEntriesRequest_;
     TimePoint nextRoleCheck_;
     TimePoint nextBeat_;
     TimePoint nextStaleCheck_;
