--- a/src/include/wagtailhead/backend_reports.h
+++ b/src/include/wagtailhead/backend_reports.h
@@ -48,8 +48,9 @@
 
     auto take(const BackendReport& report) -> ReportVerdict;
 
-    /// Restores the status from the entry that an earlier process of this node published. State from reports
-    /// to this process takes precedence.
+    /// Restores the status from an entry that an earlier process of this node published. State from reports
+    /// to this process takes precedence, except that a backend server that was leaving stays so until its
+    /// next start.
     auto restore(const NodeEntry& entry) -> void;
 
     auto status() const -> const BackendStatus&
--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -26,6 +26,12 @@
 auto backendPhaseName(BackendPhase phase) -> const char*;
 auto parseBackendPhase(std::string_view name) -> std::optional<BackendPhase>;
 
+/// Returns whether a backend server takes no further requests.
+inline auto isLeaving(BackendPhase phase) -> bool
+{
+    return phase == BackendPhase::Draining || phase == BackendPhase::Gone;
+}
+
 /// What a node publishes about itself. Only the node itself writes its entry.
 struct NodeEntry {
     std::string node_;
@@ -101,6 +107,8 @@
     auto digest() const -> std::uint64_t;
 
     auto find(const std::string& node) const -> const NodeEntry*;
+    /// Returns when the entry of a node was changed last, or the start of the clock if the node is not known.
+    auto changedAt(const std::string& node) const -> TimePoint;
     auto entries() const -> std::vector<NodeEntry>;
     auto size() const -> std::size_t
     {
@@ -152,6 +160,7 @@
 private:
     struct Known {
         NodeEntry entry_;
+        TimePoint changedAt_;
         GateLoad load_;
         TimePoint loadTime_; ///< Of the last report.
         int inFlight_ = 0; ///< From this node.
--- a/src/include/wagtailhead/object_store.h
+++ b/src/include/wagtailhead/object_store.h
@@ -43,6 +43,11 @@
 /// Returns the lower-case name of an error, for logs.
 auto storeErrorName(StoreError error) -> const char*;
 
+enum class Freshness : std::uint8_t {
+    Current,
+    MayBeStale, ///< Seconds old at most, and a tenth of the price.
+};
+
 /// Counts of calls by kind, each of which is paid for.
 struct ObjectStoreStats {
     std::uint64_t reads_ = 0;
@@ -59,8 +64,10 @@
 
     virtual ~ObjectStore() = default;
 
-    /// Lists all objects of a kind, page after page.
-    virtual auto list(const std::string& kind, Callback<StoredList> callback) -> void = 0;
+    /// Lists all objects of a kind, page after page. A watch from the revision of a stale list reports what
+    /// the list lacks.
+    virtual auto list(const std::string& kind, Freshness freshness, Callback<StoredList> callback) -> void
+        = 0;
 
     /// Waits up to `wait` for a change after `revision`.
     virtual auto watch(const std::string& kind, std::uint64_t revision, Duration wait,
--- a/src/libsidecar/backend_reports.cpp
+++ b/src/libsidecar/backend_reports.cpp
@@ -1,5 +1,6 @@
 #include "wagtailhead/backend_reports.h"
 
+#include <algorithm>
 #include <array>
 
 namespace wagtailhead {
@@ -66,14 +67,18 @@
         if (status_.id_ == entry.backendId_ && status_.bornMs_ == 0) {
             status_.bornMs_ = entry.backendBornMs_;
         }
+        const bool sameStart = status_.id_ == entry.backendId_ && status_.bornMs_ == entry.backendBornMs_
+            && status_.bornMs_ != 0;
+        if (sameStart && isLeaving(entry.phase_)) {
+            status_.phase_ = std::max(status_.phase_, entry.phase_);
+        }
         return;
     }
     status_.id_ = entry.backendId_;
     status_.bornMs_ = entry.backendBornMs_;
     status_.capacity_ = entry.capacity_;
     // A ready backend server is used only after it has reported to this process.
-    const bool leaving = entry.phase_ == BackendPhase::Draining || entry.phase_ == BackendPhase::Gone;
-    status_.phase_ = leaving ? entry.phase_ : BackendPhase::Unknown;
+    status_.phase_ = isLeaving(entry.phase_) ? entry.phase_ : BackendPhase::Unknown;
 }
 
 } // namespace wagtailhead
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -86,6 +86,7 @@
         known.retiredAt_.reset();
         const bool moved = known.entry_.service_ != entry.service_ || known.entry_.node_.empty();
         known.entry_ = entry;
+        known.changedAt_ = Clock::now();
         if (moved) {
             indexServices();
         }
@@ -110,6 +111,9 @@
     auto& known = found->second;
     known.entry_.phase_ = BackendPhase::Gone;
     known.entry_.accepting_ = false;
+    // The backend server itself has not said that it leaves; its node may run after all.
+    known.entry_.backendId_.clear();
+    known.entry_.backendBornMs_ = 0;
     ++known.entry_.generation_;
     known.retiredAt_ = now;
     return known.entry_;
@@ -157,6 +161,12 @@
     return found == nodes_.end() ? nullptr : &found->second.entry_;
 }
 
+auto Directory::changedAt(const std::string& node) const -> TimePoint
+{
+    const auto found = nodes_.find(node);
+    return found == nodes_.end() ? TimePoint {} : found->second.changedAt_;
+}
+
 auto Directory::entries() const -> std::vector<NodeEntry>
 {
     std::vector<NodeEntry> all;
@@ -352,9 +362,7 @@
 {
     std::vector<NodeEntry> nodes;
     for (auto& [name, known] : nodes_) {
-        const bool leaves
-            = known.entry_.phase_ == BackendPhase::Draining || known.entry_.phase_ == BackendPhase::Gone;
-        if (known.unreachable_ && !leaves && now >= known.nextProbe_) {
+        if (known.unreachable_ && !isLeaving(known.entry_.phase_) && now >= known.nextProbe_) {
             nodes.push_back(known.entry_);
             known.probeInterval_ = std::min(known.probeInterval_ * 2, longestProbeInterval);
             known.nextProbe_ = now + known.probeInterval_;
--- a/src/libsidecar/entry_publisher.cpp
+++ b/src/libsidecar/entry_publisher.cpp
@@ -33,8 +33,8 @@
     return entry;
 }
 
-/// Returns whether the stored text says the same as the entry. The generation only orders entries, and each
-/// write is paid for.
+/// Returns whether readers of the stored text would treat the node as the entry tells. The generation only
+/// orders entries, and each write is paid for.
 auto saysTheSame(const NodeEntry& entry, const std::string& storedText) -> bool
 {
     const auto stored = parseEntry(entry.node_, storedText);
@@ -43,6 +43,9 @@
     }
     auto same = valueOf(stored);
     same.generation_ = entry.generation_;
+    if (isLeaving(same.phase_) && isLeaving(entry.phase_)) {
+        same.phase_ = entry.phase_;
+    }
     return same == entry;
 }
 
--- a/src/libsidecar/kind_watch.cpp
+++ b/src/libsidecar/kind_watch.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace wagtailhead {
 
@@ -38,12 +39,19 @@
 {
 }
 
-auto KindWatch::start(Duration delay) -> void
+auto KindWatch::start(Duration delay, Freshness freshness) -> void
 {
+    freshness_ = freshness;
     listWanted_ = true;
     pause(delay);
 }
 
+auto KindWatch::setHeld(bool held) -> void
+{
+    held_ = held;
+    proceed();
+}
+
 auto KindWatch::setWatching(bool watching) -> void
 {
     watching_ = watching;
@@ -79,7 +87,7 @@
 
 auto KindWatch::proceed() -> void
 {
-    if (stopped_ || busy_) {
+    if (stopped_ || busy_ || held_) {
         return;
     }
     if (!listed_ && (listWanted_ || watching_)) {
@@ -92,7 +100,8 @@
 auto KindWatch::list() -> void
 {
     busy_ = true;
-    store_.list(kind_, [self = shared_from_this()](std::variant<StoredList, StoreError> result) {
+    const auto requestedAt = Clock::now();
+    auto onDone = [self = shared_from_this(), requestedAt](std::variant<StoredList, StoreError> result) {
         self->busy_ = false;
         if (self->stopped_) {
             return;
@@ -102,15 +111,17 @@
             self->pauseAfterFailure();
             return;
         }
-        const auto& listed = std::get<StoredList>(result);
+        auto& listed = std::get<StoredList>(result);
         self->setReachable(true, {});
         self->failures_ = 0;
         self->revision_ = listed.revision_;
         self->listed_ = true;
         self->listWanted_ = false;
-        self->events_.onList_(listed.objects_);
+        const auto freshness = std::exchange(self->freshness_, Freshness::Current);
+        self->events_.onList_({ std::move(listed.objects_), freshness, requestedAt });
         self->proceed();
-    });
+    };
+    store_.list(kind_, freshness_, std::move(onDone));
 }
 
 auto KindWatch::watch() -> void
--- a/src/libsidecar/kind_watch.h
+++ b/src/libsidecar/kind_watch.h
@@ -11,9 +11,16 @@
 
 namespace wagtailhead {
 
+/// A list of all objects of a kind.
+struct KindList {
+    std::vector<StoredObject> objects_;
+    Freshness freshness_ = Freshness::Current;
+    TimePoint requestedAt_; ///< What was created since then may be missing.
+};
+
 struct KindWatchEvents {
-    /// All objects of the kind; those that are not named do not exist any more.
-    std::function<void(const std::vector<StoredObject>& objects)> onList_;
+    /// Objects that a current list does not name did not exist when it was requested.
+    std::function<void(const KindList& list)> onList_;
     std::function<void(const StoredChange& change)> onChange_;
     /// The store was lost or is there again.
     std::function<void(bool reachable)> onReachable_;
@@ -27,8 +34,11 @@
     KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, Duration batch,
         std::uint64_t seed, KindWatchEvents events);
 
-    /// Lists the objects after `delay`, and again until that succeeds or skipList() is called.
-    auto start(Duration delay) -> void;
+    /// Lists the objects after `delay`, and again until that succeeds or skipList() is called. Later lists,
+    /// after the history was lost, are current ones.
+    auto start(Duration delay, Freshness freshness) -> void;
+    /// Makes no calls while held. Used while another watch knows that the store cannot be reached.
+    auto setHeld(bool held) -> void;
     /// Whether to watch for changes. A watch under way is awaited all the same: it is paid for already.
     auto setWatching(bool watching) -> void;
     /// The objects are known from elsewhere. They are only listed before the next watch.
@@ -57,6 +67,8 @@
     std::mt19937_64 random_;
     std::uint64_t revision_ = 0;
     int failures_ = 0; ///< In a row.
+    Freshness freshness_ = Freshness::Current; ///< Of the next list.
+    bool held_ = false;
     bool listed_ = false;
     bool listWanted_ = false;
     bool watching_ = false;
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -5,7 +5,6 @@
 #include "wagtailhead/log.h"
 
 #include <algorithm>
-#include <set>
 
 namespace wagtailhead {
 
@@ -13,10 +12,10 @@
 
 /// Bound on a decompressed configuration. The store holds values of up to 1 MB.
 constexpr std::size_t maxConfigurationBytes = std::size_t { 16 } << 20;
-/// How long changes are collected before the store is watched again. Changed entries are also sent directly
-/// between nodes.
+/// How long changes are collected before the store is watched again. Nodes send changed entries to each
+/// other, so the watch of the entries only makes up for frames that were lost.
 constexpr Duration configurationBatch = milliseconds(200);
-constexpr Duration nodeBatch = seconds(3);
+constexpr Duration nodeBatch = seconds(10);
 /// When all nodes start at once, each has published its entry after this time, most of them including the
 /// first report of the backend server.
 constexpr Duration firstListDelay = milliseconds(2200);
@@ -36,8 +35,8 @@
 {
     configurationWatch_ = std::make_shared<KindWatch>(parts_.context_, parts_.store_,
         parts_.platform_.configurationKind_, configurationBatch, options_.seed_,
-        KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
-                             for (const auto& object : objects) {
+        KindWatchEvents { [this](const KindList& list) {
+                             for (const auto& object : list.objects_) {
                                  onConfigurationObject(object);
                              }
                          },
@@ -46,11 +45,13 @@
                     onConfigurationObject(change.object_);
                 }
             },
-            nullptr });
+            [this](bool reachable) {
+                nodeWatch_->setHeld(!reachable);
+            } });
     nodeWatch_
         = std::make_shared<KindWatch>(parts_.context_, parts_.store_, nodeKind, nodeBatch, options_.seed_ + 1,
-            KindWatchEvents { [this](const std::vector<StoredObject>& objects) {
-                                 onNodeList(objects);
+            KindWatchEvents { [this](const KindList& list) {
+                                 onNodeList(list);
                              },
                 [this](const StoredChange& change) {
                     onNodeChange(change);
@@ -61,8 +62,11 @@
 auto SiteState::start() -> void
 {
     const auto delay = options_.firstStart_ ? firstListDelay : Duration::zero();
-    configurationWatch_->start(delay);
-    nodeWatch_->start(delay);
+    // A node that starts for the first time has nothing to lose to a stale list: the watchers of its zone
+    // tell it what the list lacks. After a restart the list decides whether the backend server may be used.
+    const auto freshness = options_.firstStart_ ? Freshness::MayBeStale : Freshness::Current;
+    configurationWatch_->start(delay, freshness);
+    nodeWatch_->start(delay, freshness);
 }
 
 auto SiteState::onConfigurationObject(const StoredObject& object) -> void
@@ -98,23 +102,31 @@
     }
 }
 
-auto SiteState::onNodeList(const std::vector<StoredObject>& objects) -> void
+auto SiteState::onNodeList(const KindList& list) -> void
 {
     std::set<std::string> names;
-    for (const auto& object : objects) {
+    for (const auto& object : list.objects_) {
         applyObject(object);
         names.insert(object.name_);
     }
+    if (list.freshness_ == Freshness::Current) {
+        removeUnlisted(names, list.requestedAt_);
+    }
+    hasNodeList_ = true;
+    publish(nullptr);
+}
+
+auto SiteState::removeUnlisted(const std::set<std::string>& listed, TimePoint requestedAt) -> void
+{
     for (const auto& entry : parts_.directory_.entries()) {
-        if (entry.node_ != options_.self_.node_ && names.count(entry.node_) == 0) {
+        const bool created = parts_.directory_.changedAt(entry.node_) >= requestedAt;
+        if (entry.node_ != options_.self_.node_ && listed.count(entry.node_) == 0 && !created) {
             removeNode(entry.node_);
         }
     }
-    if (names.count(options_.self_.node_) == 0) {
+    if (listed.count(options_.self_.node_) == 0) {
         publisher_->onMissing();
     }
-    hasNodeList_ = true;
-    publish(nullptr);
 }
 
 auto SiteState::onNodeChange(const StoredChange& change) -> void
@@ -172,12 +184,20 @@
         parts_.onRestored_();
         return;
     }
+    // The store may not have the last entry of an earlier process, which had confirmed that the backend
+    // server leaves.
+    const auto phase = parts_.reports_.status().phase_;
+    parts_.reports_.restore(entry);
+    const bool restored = parts_.reports_.status().phase_ != phase;
+    if (restored) {
+        parts_.onRestored_();
+    }
     // Other nodes hold an entry of an earlier process with a greater generation, for example after the clock
     // was set back.
     const auto* published = parts_.directory_.find(options_.self_.node_);
     const bool newer = published == nullptr || entry.generation_ > published->generation_;
     generation_ = std::max(generation_, entry.generation_);
-    if (newer && published_) {
+    if (restored || (newer && published_)) {
         publish(nullptr);
     }
 }
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -9,6 +9,7 @@
 #include "watch_roles.h"
 
 #include <optional>
+#include <set>
 
 namespace wagtailhead {
 
@@ -86,7 +87,9 @@
 private:
     auto onConfigurationObject(const StoredObject& object) -> void;
     auto adopt(const std::string& text, const char* source) -> void;
-    auto onNodeList(const std::vector<StoredObject>& objects) -> void;
+    auto onNodeList(const KindList& list) -> void;
+    /// Removes the nodes that a current list does not name.
+    auto removeUnlisted(const std::set<std::string>& listed, TimePoint requestedAt) -> void;
     auto onNodeChange(const StoredChange& change) -> void;
     auto applyObject(const StoredObject& object) -> void;
     auto proximityOf(const NodeEntry& entry) const -> Proximity;
--- a/src/libsidecar/site_knowledge_test.cpp
+++ b/src/libsidecar/site_knowledge_test.cpp
@@ -16,8 +16,9 @@
 /// A store that records all calls; tests complete list calls through answerList().
 class CountingStore final : public ObjectStore {
 public:
-    auto list(const std::string& kind, Callback<StoredList> callback) -> void override
+    auto list(const std::string& kind, Freshness freshness, Callback<StoredList> callback) -> void override
     {
+        freshness_[kind] = freshness;
         lists_[kind] = std::move(callback);
     }
     auto watch(const std::string& kind, std::uint64_t /*revision*/, Duration /*wait*/,
@@ -58,6 +59,7 @@
     }
 
     std::map<std::string, Callback<StoredList>> lists_;
+    std::map<std::string, Freshness> freshness_;
     std::map<std::string, Callback<StoredChanges>> watches_;
     std::vector<std::string> written_;
     std::vector<std::string> removed_;
@@ -106,7 +108,7 @@
 
 /// Runs the site state of a node `self`. The text of a configuration is its version number.
 struct NodeFixture {
-    NodeFixture()
+    explicit NodeFixture(bool firstStart = false)
     {
         linkPort() = port_;
         platform_.configurationKind_ = "config";
@@ -125,6 +127,7 @@
         options.self_.service_ = "stock";
         options.self_.link_ = { "127.0.0.1", port_ };
         options.incarnation_ = 1000;
+        options.firstStart_ = firstStart;
         siteState_.emplace(options,
             SiteStateParts { context_, store_, platform_, directory_, reports_, *links_,
                 [this](const Frame& frame) {
@@ -304,13 +307,98 @@
 Test(site_knowledge, nodes_missing_from_the_store_list_are_removed)
 {
     NodeFixture fixture;
-    fixture.siteState_->onEntry(entryOf("gone", 1));
+    fixture.store_.answerList("config", {});
+    fixture.store_.answerList(nodeKind, { stored(entryOf("gone", 1)) });
+    fixture.siteState_->tick(Clock::now());
+    fixture.run();
+    std::exchange(fixture.store_.watches_[nodeKind], nullptr)(StoreError::HistoryGone);
+    fixture.runFor(milliseconds(250));
     fixture.store_.answerList(nodeKind, { stored(entryOf("n1", 1)), { "foreign", 4, "\"text\"" } });
     cr_assert(fixture.directory_.find("gone")->phase_ == BackendPhase::Gone);
     cr_assert(fixture.directory_.find("n1")->phase_ == BackendPhase::Ready);
     cr_assert(fixture.directory_.find("foreign") == nullptr);
 }
 
+// A node that started while the list was on its way was taken for a removed one, and no request went to it.
+Test(site_knowledge, a_node_that_appears_while_the_store_list_is_read_stays)
+{
+    NodeFixture fixture;
+    fixture.siteState_->onEntry(entryOf("new", 1));
+    fixture.store_.answerList(nodeKind, { stored(entryOf("n1", 1)) });
+    cr_assert(fixture.directory_.find("new")->phase_ == BackendPhase::Ready);
+}
+
+// With every node of a site starting at once, each reads the store. Stale lists cost a tenth; what they lack
+// must not count as removed, and must not be written once more.
+Test(site_knowledge, a_stale_list_at_the_first_start_removes_nothing)
+{
+    NodeFixture fixture(true);
+    fixture.report(BackendPhase::Ready, 1);
+    cr_assert(fixture.store_.written_.size() == 1);
+    std::exchange(fixture.store_.write_, nullptr)(StoredObject { "self", 11, fixture.store_.written_[0] });
+    fixture.siteState_->onEntry(entryOf("n2", 1));
+    fixture.runFor(milliseconds(2300));
+    cr_assert(fixture.store_.freshness_["config"] == Freshness::MayBeStale);
+    cr_assert(fixture.store_.freshness_[nodeKind] == Freshness::MayBeStale);
+    fixture.store_.answerList(nodeKind, { stored(entryOf("n1", 1)) });
+    cr_assert(fixture.directory_.find("n2")->phase_ == BackendPhase::Ready);
+    cr_assert(fixture.store_.written_.size() == 1, "the entry was written once more");
+}
+
+// An operator's report: after a restart of a process, a server that had left was in use again. The process
+// confirmed the leave while the store was away, so the store still names the backend server as ready; other
+// nodes know better.
+Test(site_knowledge, a_leave_that_the_store_has_missed_persists_over_a_restart)
+{
+    for (const auto phase : { BackendPhase::Draining, BackendPhase::Gone }) {
+        NodeFixture fixture;
+        fixture.store_.answerList(nodeKind, { stored(entryOf("self", 900)) });
+        fixture.report(BackendPhase::Ready, 20); // A report that was delayed on its way.
+        auto left = entryOf("self", 950);
+        left.phase_ = phase;
+        fixture.siteState_->onEntry(left);
+        cr_assert(fixture.reports_.status().phase_ == phase);
+        cr_assert(fixture.restored_ == 2, "the gate has not been told");
+        cr_assert(fixture.announced_.back().phase_ == phase && fixture.announced_.back().generation_ > 950);
+        fixture.report(BackendPhase::Ready, 21);
+        cr_assert(fixture.reports_.status().phase_ == phase, "a later report of the same start");
+    }
+}
+
+// Another node that takes this one for removed must not end the use of its backend server.
+Test(site_knowledge, a_node_that_others_took_for_removed_goes_on)
+{
+    NodeFixture fixture;
+    fixture.store_.answerList(nodeKind, {});
+    fixture.report(BackendPhase::Ready, 1);
+    Directory other({ "n1", "a", "r", 1 });
+    other.apply(fixture.announced_.back());
+    const auto retired = other.retire("self", Clock::now());
+    cr_assert(retired.has_value());
+    fixture.siteState_->onEntry(*retired);
+    cr_assert(fixture.reports_.status().phase_ == BackendPhase::Ready);
+    cr_assert(fixture.announced_.back().phase_ == BackendPhase::Ready);
+    cr_assert(other.apply(fixture.announced_.back()) && other.find("self")->accepting_);
+}
+
+// Calls of the watch of the entries in an outage of the store double the cost of the outage.
+Test(site_knowledge, only_one_kind_is_tried_while_the_store_is_away)
+{
+    NodeFixture fixture;
+    fixture.store_.answerList("config", {});
+    fixture.store_.answerList(nodeKind, {});
+    fixture.report(BackendPhase::Ready, 1);
+    fixture.siteState_->tick(Clock::now());
+    fixture.run();
+    std::exchange(fixture.store_.watches_["config"], nullptr)(StoreError::Refused);
+    std::exchange(fixture.store_.watches_[nodeKind], nullptr)(StoreError::Refused);
+    fixture.runFor(milliseconds(300));
+    cr_assert(fixture.store_.watches_["config"] != nullptr && fixture.store_.watches_[nodeKind] == nullptr);
+    std::exchange(fixture.store_.watches_["config"], nullptr)(StoredChanges { {}, 11 });
+    fixture.runFor(milliseconds(10));
+    cr_assert(fixture.store_.watches_[nodeKind] != nullptr);
+}
+
 Test(site_knowledge, the_only_node_of_a_zone_watches_the_store)
 {
     NodeFixture fixture;
--- a/src/libsidecar/store_sync_test.cpp
+++ b/src/libsidecar/store_sync_test.cpp
@@ -19,9 +19,11 @@
     {
     }
 
-    auto list(const std::string& /*kind*/, Callback<StoredList> callback) -> void override
+    auto list(const std::string& /*kind*/, Freshness freshness, Callback<StoredList> callback)
+        -> void override
     {
         ++lists_;
+        lastFreshness_ = freshness;
         if (auto error = takeError()) {
             return answer<StoredList>(callback, *error);
         }
@@ -87,6 +89,7 @@
     std::vector<StoreError> errors_; ///< Of the next calls.
     bool loseAnswer_ = false; ///< The next write is done and not answered.
     int lists_ = 0;
+    Freshness lastFreshness_ = Freshness::Current;
     int writes_ = 0;
     std::uint64_t watchedFrom_ = 0;
     Callback<StoredChanges> watch_;
@@ -150,14 +153,14 @@
     store.objects_["main"] = { "main", 4, "{}" };
     std::vector<std::string> seen;
     auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
-        KindWatchEvents { [&](const std::vector<StoredObject>& objects) {
-                             seen.push_back("list " + std::to_string(objects.size()));
+        KindWatchEvents { [&](const KindList& list) {
+                             seen.push_back("list " + std::to_string(list.objects_.size()));
                          },
             [&](const StoredChange& change) {
                 seen.push_back("change " + change.object_.name_);
             },
             nullptr });
-    watch->start({});
+    watch->start({}, Freshness::Current);
     watch->setWatching(true);
     run(context, milliseconds(20));
     cr_assert(store.watchedFrom_ == 10);
@@ -174,8 +177,8 @@
     asio::io_context context;
     MemoryStore store(context);
     auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
-        KindWatchEvents { [](const std::vector<StoredObject>&) {}, [](const StoredChange&) {}, nullptr });
-    watch->start({});
+        KindWatchEvents { [](const KindList&) {}, [](const StoredChange&) {}, nullptr });
+    watch->start({}, Freshness::Current);
     watch->setWatching(true);
     run(context, milliseconds(20));
     store.endWatch(StoreError::HistoryGone);
@@ -191,11 +194,11 @@
     store.errors_.assign(100, StoreError::Refused);
     std::vector<bool> reachable;
     auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
-        KindWatchEvents { [](const std::vector<StoredObject>&) {}, [](const StoredChange&) {},
+        KindWatchEvents { [](const KindList&) {}, [](const StoredChange&) {},
             [&](bool now) {
                 reachable.push_back(now);
             } });
-    watch->start({});
+    watch->start({}, Freshness::Current);
     watch->setWatching(true);
     run(context, seconds(3));
     cr_assert(store.lists_ >= 3 && store.lists_ <= 8, "%d calls in 3 s", store.lists_);
@@ -210,8 +213,8 @@
     asio::io_context context;
     MemoryStore store(context);
     auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
-        KindWatchEvents { [](const std::vector<StoredObject>&) {}, [](const StoredChange&) {}, nullptr });
-    watch->start(milliseconds(30));
+        KindWatchEvents { [](const KindList&) {}, [](const StoredChange&) {}, nullptr });
+    watch->start(milliseconds(30), Freshness::Current);
     run(context, milliseconds(20));
     cr_assert(store.lists_ == 0, "listed before the delay");
     run(context, milliseconds(40));
@@ -233,8 +236,8 @@
     MemoryStore store(context);
     store.errors_.assign(100, StoreError::Refused);
     auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
-        KindWatchEvents { [](const std::vector<StoredObject>&) {}, [](const StoredChange&) {}, nullptr });
-    watch->start({});
+        KindWatchEvents { [](const KindList&) {}, [](const StoredChange&) {}, nullptr });
+    watch->start({}, Freshness::Current);
     run(context, milliseconds(50));
     watch->skipList();
     const int calls = store.lists_;
@@ -247,6 +250,51 @@
     watch->stop();
 }
 
+Test(kind_watch, only_the_first_list_may_be_stale)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    std::vector<Freshness> seen;
+    auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
+        KindWatchEvents { [&](const KindList& list) {
+                             seen.push_back(list.freshness_);
+                         },
+            [](const StoredChange&) {}, nullptr });
+    watch->start({}, Freshness::MayBeStale);
+    watch->setWatching(true);
+    run(context, milliseconds(20));
+    cr_assert(store.lastFreshness_ == Freshness::MayBeStale);
+    store.endWatch(StoreError::HistoryGone);
+    run(context, milliseconds(300));
+    cr_assert(store.lastFreshness_ == Freshness::Current);
+    cr_assert(seen == (std::vector<Freshness> { Freshness::MayBeStale, Freshness::Current }));
+    watch->stop();
+}
+
+// A process that has read "draining" treats the backend server like one that is gone, and each write is paid
+// for.
+Test(entry_publisher, a_withdrawal_after_a_stored_drain_is_not_written)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    auto publisher = std::make_shared<EntryPublisher>(context, store);
+    auto entry = entryOf(1);
+    entry.phase_ = BackendPhase::Draining;
+    publisher->publish(entry, nullptr);
+    run(context, milliseconds(20));
+    bool confirmed = false;
+    entry.phase_ = BackendPhase::Gone;
+    publisher->publish(entry, [&] {
+        confirmed = true;
+    });
+    run(context, milliseconds(20));
+    cr_assert(confirmed && store.writes_ == 1);
+    entry.backendId_ = "i-2";
+    publisher->publish(entry, nullptr);
+    run(context, milliseconds(20));
+    cr_assert(store.writes_ == 2, "another backend server has left");
+}
+
 Test(entry_publisher, a_new_generation_alone_is_not_written)
 {
     asio::io_context context;
