--- a/src/libhttp1/http1_network_test.cpp
+++ b/src/libhttp1/http1_network_test.cpp
@@ -361,6 +361,66 @@
 
 namespace {
 
+auto sealedResponse(const std::string& id, const std::string& body, bool keepAlive = true) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + (keepAlive ? "" : "\r\nConnection: close")
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+auto callWithId(asio::io_context& context, Pool& pool, const std::string& id) -> CallResult
+{
+    std::optional<CallResult> result;
+    auto call = get([&](CallResult got) {
+        result = std::move(got);
+    });
+    call.id_ = id;
+    pool.send(std::move(call));
+    const auto end = Clock::now() + patience;
+    while (!result && Clock::now() < end) {
+        context.run_for(milliseconds(5));
+        context.restart();
+    }
+    cr_assert(result.has_value(), "no result in time");
+    return *result;
+}
+
+} // namespace
+
+// An operator's report: a late copy of a response reached the next caller on the connection. The next caller
+// is to get its own response, although the copy stands before it.
+Test(http1_pool, a_late_copy_before_the_own_response_is_dropped)
+{
+    struct CopyCase {
+        const char* name_;
+        std::string answer_;
+        bool own_; ///< Whether the next caller gets its own response, or else whatever the server sent.
+    };
+    const CopyCase cases[] = {
+        { "one copy", sealedResponse("first", "wrong") + sealedResponse("second", "right"), true },
+        { "two copies",
+            sealedResponse("first", "wrong") + sealedResponse("first", "wrong")
+                + sealedResponse("second", "right"),
+            false },
+        { "a copy that ends the connection", sealedResponse("first", "wrong", false), false },
+        { "a response to some other request", sealedResponse("other", "wrong"), false },
+    };
+    for (const auto& one : cases) {
+        asio::io_context context;
+        ScriptedServer server(context,
+            { { sealedResponse("first", "one") }, { one.answer_ }, { sealedResponse("third", "three") } });
+        const auto pool = Pool::create(context, { .server_ = server.address(), .echoHeader_ = "Id" });
+        cr_assert(std::get<Response>(callWithId(context, *pool, "first")).body_ == "one");
+        const auto second = std::get<Response>(callWithId(context, *pool, "second"));
+        cr_expect((second.headers_.find("Id") == "second") == one.own_, "%s", one.name_);
+        cr_expect(!one.own_ || second.body_ == "right", "%s", one.name_);
+        if (one.own_) {
+            cr_expect(pool->stats().lateCopies_ == 1 && pool->stats().open_ == 0, "%s", one.name_);
+        }
+    }
+}
+
+namespace {
+
 auto responseOf(int status, const std::string& body) -> Response
 {
     Response response;
--- a/src/libhttp1/http1_pool.cpp
+++ b/src/libhttp1/http1_pool.cpp
@@ -74,7 +74,9 @@
     auto waitReadable() -> void;
     auto onReadable() -> void;
     auto take(std::string_view bytes) -> void;
-    auto complete(bool bytesLeft) -> void;
+    /// Returns whether the response is a copy of the one to the previous request on this connection.
+    auto isLateCopy(const Response& response) const -> bool;
+    auto complete(Response response, bool bytesLeft) -> void;
 
     asio::ip::tcp::socket socket_;
     AsioPool* pool_; ///< Null after the pool has gone.
@@ -82,10 +84,13 @@
     std::string output_;
     std::optional<PoolCall> call_;
     Pool::CallId callId_ = 0;
+    std::string previousId_; ///< PoolCall::id_ of the previous request.
+    bool copyDropped_ = false; ///< The server is out of step; the connection is not used further.
     TimePoint callDeadline_;
     TimePoint connectDeadline_;
     TimePoint idleSince_;
     Duration idleLimit_ {};
+    bool toHead_ = false;
     bool connected_ = false;
     bool writing_ = false;
     bool waiting_ = false;
@@ -124,6 +129,10 @@
     }
     auto onClosed(const std::shared_ptr<ClientConnection>& connection, CallId id, bool lostCall) -> void;
     auto onIdle(const std::shared_ptr<ClientConnection>& connection, CallId id) -> void;
+    auto onLateCopy() -> void
+    {
+        ++stats_.lateCopies_;
+    }
     /// Ends the longest response that is being read while all of them together exceed the limit.
     auto limitBufferedBytes() -> void;
 
@@ -187,7 +196,8 @@
 
 auto ClientConnection::sendRequest() -> void
 {
-    reader_.reset(call_->request_.method_ == "HEAD");
+    toHead_ = call_->request_.method_ == "HEAD";
+    reader_.reset(toHead_);
     reader_.setLimits({ pool_->options().maxHeaderBytes_, pool_->options().maxResponseBytes_ });
     output_.clear();
     appendRequest(output_, call_->request_);
@@ -246,7 +256,7 @@
     if (error == asio::error::eof && call_) {
         reader_.finish();
         if (reader_.state() == ReadState::Complete) {
-            complete(true);
+            complete(reader_.takeResponse(), true);
             return;
         }
     }
@@ -260,32 +270,46 @@
 
 auto ClientConnection::take(std::string_view bytes) -> void
 {
-    const auto used = reader_.feed(bytes);
-    switch (reader_.state()) {
-    case ReadState::Complete:
-        complete(used < bytes.size());
-        return;
-    case ReadState::Malformed:
-    case ReadState::HeadersTooLarge:
-    case ReadState::BodyTooLarge:
+    auto used = reader_.feed(bytes);
+    while (reader_.state() == ReadState::Complete) {
+        auto response = reader_.takeResponse();
+        bytes.remove_prefix(used);
+        if (copyDropped_ || !response.keepAlive_ || !isLateCopy(response)) {
+            complete(std::move(response), !bytes.empty());
+            return;
+        }
+        copyDropped_ = true;
+        pool_->onLateCopy();
+        reader_.reset(toHead_);
+        used = reader_.feed(bytes);
+    }
+    if (reader_.state() > ReadState::Complete) {
         fail(Failure::Malformed);
         return;
-    default:
-        waitReadable();
-        pool_->limitBufferedBytes();
     }
+    waitReadable();
+    pool_->limitBufferedBytes();
+}
+
+auto ClientConnection::isLateCopy(const Response& response) const -> bool
+{
+    const auto& header = pool_->options().echoHeader_;
+    if (header.empty() || previousId_.empty() || previousId_ == call_->id_) {
+        return false;
+    }
+    return response.headers_.find(header) == previousId_;
 }
 
-auto ClientConnection::complete(bool bytesLeft) -> void
+auto ClientConnection::complete(Response response, bool bytesLeft) -> void
 {
-    auto response = reader_.takeResponse();
     // A response that came before the request was sent leaves the rest of the request due.
-    const bool reusable = response.keepAlive_ && !bytesLeft && !writing_;
+    const bool reusable = response.keepAlive_ && !bytesLeft && !writing_ && !copyDropped_;
     const auto named = namedIdleLimit(response);
     idleLimit_ = named ? std::max(*named - pool_->options().idleMargin_, Duration::zero())
                        : pool_->options().idleLimit_;
     const auto self = shared_from_this();
     auto done = std::move(call_->done_);
+    previousId_ = std::move(call_->id_);
     call_.reset();
     if (reusable) {
         idleSince_ = Clock::now();
--- a/src/libhttp1/http1_pool.h
+++ b/src/libhttp1/http1_pool.h
@@ -33,6 +33,10 @@
     Duration idleLimit_ = seconds(5);
     /// The server's own limit, where it names one, minus this time for the way.
     Duration idleMargin_ = milliseconds(700);
+    /// Header in which the server repeats the id of a request. A late copy of the connection's previous
+    /// response, which it tells by this header, is dropped, and the response to the present request is
+    /// awaited.
+    std::string echoHeader_ {};
     std::size_t maxHeaderBytes_ = std::size_t { 64 } << 10;
     std::size_t maxResponseBytes_ = std::size_t { 64 } << 20;
     /// Bound on the bytes of all responses that are being read. Beyond it the longest one counts as
@@ -42,6 +46,9 @@
 
 struct PoolCall {
     Request request_;
+    /// Identifies the request in the header `echoHeader_` of its response; see PoolOptions. Empty if there is
+    /// none.
+    std::string id_;
     Duration timeout_ = seconds(10);
     /// The longest idle time of the connection that carries the request. A request that must not run twice
     /// takes a fresh one, since a connection that the server has closed loses it.
@@ -53,6 +60,8 @@
     std::uint64_t opened_ = 0;
     std::uint64_t reused_ = 0;
     std::uint64_t lost_ = 0;
+    std::uint64_t lateCopies_
+        = 0; ///< Responses dropped since they belong to the connection's previous request.
     std::size_t bufferedBytes_ = 0; ///< Of responses that are being read.
     std::size_t open_ = 0;
     std::size_t idle_ = 0;
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -212,6 +212,7 @@
     fixture.waitForBackend();
     http1::Response rejected;
     rejected.status_ = 503;
+    rejected.headers_.add("Attempt", "a1");
     rejected.headers_.add("Not-Run", "1");
     fixture.pool_->answer(rejected);
     const auto text = fixture.answer();
--- a/src/libsidecar/entry_publisher.cpp
+++ b/src/libsidecar/entry_publisher.cpp
@@ -59,7 +59,7 @@
         { "backend", entry.backendId_ }, { "born", entry.backendBornMs_ },
         { "phase", backendPhaseName(entry.phase_) }, { "accepting", entry.accepting_ },
         { "generation", entry.generation_ }
-    }.dump();
+    }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 auto parseEntry(const std::string& name, const std::string& text) -> Result<NodeEntry>
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -258,6 +258,7 @@
     }
     http1::PoolCall poolCall;
     poolCall.request_ = backendRequest(call);
+    poolCall.id_ = call.attemptId_;
     poolCall.timeout_ = call.deadline_ - ticket->sent_ + deadlineGrace;
     if (!call.idempotent_) {
         poolCall.maxIdle_ = maxIdleNonIdempotent;
@@ -312,8 +313,11 @@
     const auto& names = options_.headers_;
     const auto echo = response.headers_.find(names.attemptId_);
     const bool success = response.status_ >= statusOk && response.status_ < statusRedirect;
+    const bool rejected = response.headers_.has(names.notRun_) || response.status_ == statusMisdirected;
+    // A rejection is a promise, so it has to name the attempt that must not run twice.
+    const bool unproven = rejected && !ticket.call_.idempotent_ && echo.empty();
     const bool mismatched = response.headers_.has("Content-Encoding")
-        || (!echo.empty() && echo != ticket.call_.attemptId_)
+        || (!echo.empty() && echo != ticket.call_.attemptId_) || unproven
         || (success && !response.headers_.has(names.seal_));
     if (mismatched) {
         ++stats_.malformed_;
@@ -322,7 +326,7 @@
                 { "status", response.status_ }, { "echo", echo } });
         return unknown(GateReason::Malformed);
     }
-    if (response.headers_.has(names.notRun_) || response.status_ == statusMisdirected) {
+    if (rejected) {
         ++stats_.rejectedByBackend_;
         return notRun(
             response.status_ == statusMisdirected ? GateReason::Unavailable : GateReason::Busy, true);
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -2,6 +2,8 @@
 
 #include "wagtailhead/boot_clock.h"
 
+#include <algorithm>
+#include <cmath>
 #include <limits>
 #include <msgpack.hpp>
 
@@ -13,6 +15,11 @@
 /// The largest body is bounded by the limits for callers; a longer frame is an error of the stream.
 constexpr std::size_t maxFrameBytes = std::size_t { 160 } << 20;
 
+/// Bounds on what a frame announces. Most strings are shorter than the frame; the longest array holds the
+/// entries of all nodes of a site.
+constexpr std::size_t maxArrayElements = 100000;
+constexpr std::size_t maxNesting = 8;
+
 /// Appends to a string as msgpack's stream type.
 struct StringStream {
     std::string& text_;
@@ -244,17 +251,28 @@
     return static_cast<CallsMade>(value);
 }
 
+/// Reads a number of microseconds, limited to what later sums of times can hold.
+auto readMicroseconds(ArrayReader& reader) -> microseconds
+{
+    constexpr microseconds longest = std::chrono::hours(24 * 365 * 20);
+    return std::clamp(microseconds(reader.next<std::int64_t>()), -longest, longest);
+}
+
 auto readLoad(ArrayReader& reader) -> GateLoad
 {
     GateLoad load;
     load.running_ = reader.next<int>();
     load.queued_ = reader.next<int>();
     load.limit_ = reader.next<int>();
-    load.serviceTime_ = microseconds(reader.next<std::int64_t>());
+    load.serviceTime_ = readMicroseconds(reader);
     load.level_ = reader.next<double>();
     load.called_.level_ = reader.next<double>();
-    load.called_.age_ = milliseconds(reader.next<std::int64_t>());
+    load.called_.age_ = std::chrono::duration_cast<Duration>(milliseconds(std::clamp<std::int64_t>(
+        reader.next<std::int64_t>(), 0, milliseconds(std::chrono::hours(24)).count())));
     load.calls_ = readCalls(reader.next<int>());
+    if (!std::isfinite(load.level_) || !std::isfinite(load.called_.level_)) {
+        throw msgpack::type_error();
+    }
     return load;
 }
 
@@ -262,10 +280,10 @@
 {
     CallFrame frame;
     frame.id_ = reader.next<std::uint64_t>();
-    frame.sentAtUs_ = reader.next<std::int64_t>();
+    frame.sentAtUs_ = readMicroseconds(reader).count();
     auto& call = frame.call_;
     // The receiver adds its own time: only the time left is known here.
-    call.deadline_ = TimePoint(microseconds(reader.next<std::int64_t>()));
+    call.deadline_ = TimePoint(readMicroseconds(reader));
     call.attemptId_ = reader.next<std::string>();
     call.route_ = reader.next<std::string>();
     call.service_ = reader.next<std::string>();
@@ -276,7 +294,7 @@
     call.body_ = reader.next<std::string>();
     call.idempotent_ = reader.next<bool>();
     call.rank_ = reader.next<int>();
-    call.goal_ = microseconds(reader.next<std::int64_t>());
+    call.goal_ = readMicroseconds(reader);
     return frame;
 }
 
@@ -418,7 +436,8 @@
     const auto body = bytes.substr(lengthBytes, length);
     bytes.remove_prefix(lengthBytes + length);
     try {
-        const auto handle = msgpack::unpack(body.data(), body.size());
+        const msgpack::unpack_limit limit(maxArrayElements, 0, maxFrameBytes, maxFrameBytes, 0, maxNesting);
+        const auto handle = msgpack::unpack(body.data(), body.size(), nullptr, nullptr, limit);
         return std::optional<Frame>(readFrame(ArrayReader(handle.get())));
     } catch (const std::exception& error) {
         return Error { ErrorCode::InvalidArgument, std::string("frame cannot be read: ") + error.what() };
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -48,9 +48,9 @@
 /// Each is held twice more on its way to the caller.
 constexpr std::size_t bufferedMemoryDivisor = 5;
 
-auto backendPoolOptions(const SidecarSettings& settings) -> http1::PoolOptions
+auto backendPoolOptions(const SidecarSettings& settings, const HeaderNames& headers) -> http1::PoolOptions
 {
-    http1::PoolOptions options { .server_ = settings.backend_ };
+    http1::PoolOptions options { .server_ = settings.backend_, .echoHeader_ = headers.attemptId_ };
     if (settings.memoryBytes_ > 0) {
         options.maxBufferedBytes_ = settings.memoryBytes_ / bufferedMemoryDivisor;
         options.maxResponseBytes_ = std::min(options.maxResponseBytes_, options.maxBufferedBytes_);
@@ -134,7 +134,7 @@
     , spreadTimer_(context_)
     , directory_({ settings_.node_, settings_.zone_, settings_.region_, settings_.seed_ })
     , reports_(settings_.service_)
-    , backendPool_(http1::Pool::create(context_, backendPoolOptions(settings_)))
+    , backendPool_(http1::Pool::create(context_, backendPoolOptions(settings_, headers_)))
     , gate_({ .service_ = settings_.service_, .headers_ = headers_ }, backendPool_, metrics_)
     , links_(context_, linkEvents())
     , store_(platform_.openStore_(context_, settings_.store_))
