feat(sidecar): the retry budget keeps what a window has earned; no retries for services that fail anyway

With many nodes the single tokens also added up to more than the site's slack (195 nodes, two tokens a service, slack 213). Change: RetryBucket keeps what first tries have earned within the budget's window and starts with the node's part of the slack. Gates report the share of failed requests; a request that ran is not repeated towards a service of which half fails, and meanwhile the calls of its backend servers may use that part of the budget.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -71,6 +71,7 @@
     double level_ = 0; ///< How much less important work to refuse for this backend server (see ShedLevel).
     ReportedLevel called_ {}; ///< The same for the services that it calls.
     CallsMade calls_ = CallsMade::Unknown; ///< By the backend server.
+    double failedShare_ = 0; ///< Of the requests that the backend server has answered recently.
 };
 
 struct DirectoryOptions {
@@ -127,6 +128,10 @@
     /// the mean over the nodes that refuse requests.
     auto level(std::string_view service, TimePoint now) const -> ReportedLevel;
 
+    /// Returns the share of requests to a service that have failed recently: the mean over the nodes that
+    /// have reported.
+    auto failedShare(std::string_view service, TimePoint now) const -> double;
+
     /// Returns whether the backend servers of a service make no calls, as far as its nodes can tell.
     auto callsNothing(std::string_view service) const -> bool;
 
--- a/src/libsidecar/caller_operation.cpp
+++ b/src/libsidecar/caller_operation.cpp
@@ -60,7 +60,7 @@
         refuse("shed");
         return;
     }
-    shared_.budgets_.onFirstTry(trace_.service_);
+    shared_.budgets_.onFirstTry(trace_.service_, Clock::now());
     attempt();
 }
 
@@ -348,10 +348,10 @@
 {
     ++shared_.stats_.refused_;
     const int ranksBelow = route_ == nullptr ? 0 : configuration_->ranksBelow(route_->rank_);
-    const auto retryDelay = shared_.shedding_.retryAfter(trace_.level_.level_, ranksBelow);
+    const auto retryAfter = shared_.shedding_.retryAfter(trace_.level_.level_, ranksBelow);
     http1::Response response;
     response.status_ = statusUnavailable;
-    response.headers_.add("Retry-After", std::to_string(std::chrono::duration<double>(retryDelay).count()));
+    response.headers_.add("Retry-After", std::to_string(std::chrono::duration<double>(retryAfter).count()));
     respond(std::move(response), RequestOutcome::Refused, reason);
 }
 
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -27,6 +27,8 @@
 /// A reported level holds for this time and then falls, so that a node that gets nothing is tried again.
 constexpr Duration levelLife = seconds(2);
 constexpr double levelFallPerSecond = 1.0;
+/// A reported share of failed requests counts for this time.
+constexpr Duration failedShareLife = seconds(5);
 /// A change of a reported level by this much is passed on at once.
 constexpr double levelStep = 0.05;
 /// Spreads equal loads over equally good nodes.
@@ -225,6 +227,19 @@
     return lowest.value_or(ReportedLevel {});
 }
 
+auto Directory::failedShare(std::string_view service, TimePoint now) const -> double
+{
+    double sum = 0;
+    int reports = 0;
+    for (const auto* known : nodesOf(service)) {
+        if (isUsable(*known) && now - known->loadTime_ < failedShareLife) {
+            sum += known->load_.failedShare_;
+            ++reports;
+        }
+    }
+    return reports > 0 ? sum / reports : 0;
+}
+
 auto Directory::callsNothing(std::string_view service) const -> bool
 {
     bool known = false;
--- a/src/libsidecar/gate.cpp
+++ b/src/libsidecar/gate.cpp
@@ -37,6 +37,9 @@
 constexpr int statusMisdirected = 421;
 constexpr int statusOk = 200;
 constexpr int statusRedirect = 300;
+constexpr int statusServerError = 500;
+/// With fewer recent responses, the share of failed ones says too little.
+constexpr double minOutcomes = 1.5;
 
 auto notRun(GateReason reason, bool arrived = false) -> GateReply
 {
@@ -334,6 +337,7 @@
     const auto spent = bootNow() - ticket.sent_;
     meanServiceTime_ += std::chrono::duration_cast<Duration>((spent - meanServiceTime_) * serviceTimeWeight);
     ++stats_.answered_;
+    outcomes_.add(response.status_ >= statusServerError, bootNow());
     GateReply reply;
     reply.outcome_ = GateOutcome::Answered;
     reply.arrived_ = true;
@@ -523,7 +527,13 @@
 {
     const ReportedLevel downstream { downstreamLevel_.level_,
         downstreamLevel_.age_ + (bootNow() - downstreamLevelSet_) };
-    return { running_, waiting_, limit(), meanServiceTime_, level_.level(), downstream, calls_ };
+    return { running_, waiting_, limit(), meanServiceTime_, level_.level(), downstream, calls_,
+        failedShare() };
+}
+
+auto Gate::failedShare() const -> double
+{
+    return outcomes_.failedShare(minOutcomes, bootNow());
 }
 
 } // namespace wagtailhead
--- a/src/libsidecar/gate.h
+++ b/src/libsidecar/gate.h
@@ -4,6 +4,7 @@
 #include "gate_types.h"
 #include "header_names.h"
 #include "http1_pool.h"
+#include "outcome_share.h"
 #include "request_metrics.h"
 #include "route_origins.h"
 #include "shed_level.h"
@@ -103,6 +104,8 @@
     }
 
     auto load() const -> GateLoad;
+    /// Returns the share of the requests that the backend server has failed recently.
+    auto failedShare() const -> double;
     auto stats() const -> const GateStats&
     {
         return stats_;
@@ -183,6 +186,7 @@
     TimePoint latestDeadline_ = TimePoint::max();
     bool stopping_ = false;
     GateStats stats_;
+    OutcomeShare outcomes_ { seconds(1) }; ///< Of requests that the backend server has answered.
     LogBudget logBudget_;
     double loggedLevel_ = 0;
     TimePoint nextLevelLog_;
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -165,7 +165,8 @@
         reply.response_.status_, reply.response_.headers_.lines(), reply.response_.body_,
         reply.load_.running_, reply.load_.queued_, reply.load_.limit_,
         microsecondsOf(reply.load_.serviceTime_), reply.load_.level_, reply.load_.called_.level_,
-        millisecondsOf(reply.load_.called_.age_), static_cast<int>(reply.load_.calls_), reply.fromBackend_);
+        millisecondsOf(reply.load_.called_.age_), static_cast<int>(reply.load_.calls_),
+        reply.load_.failedShare_, reply.fromBackend_);
 }
 
 auto pack(StringStream& stream, const CancelFrame& frame) -> void
@@ -224,7 +225,7 @@
     const auto& load = frame.load_;
     packAll(stream, typeNumber<LoadFrame>(), load.running_, load.queued_, load.limit_,
         microsecondsOf(load.serviceTime_), load.level_, load.called_.level_,
-        millisecondsOf(load.called_.age_), static_cast<int>(load.calls_));
+        millisecondsOf(load.called_.age_), static_cast<int>(load.calls_), load.failedShare_);
 }
 
 auto pack(StringStream& stream, const BeatFrame& frame) -> void
@@ -270,7 +271,9 @@
     load.called_.age_ = std::chrono::duration_cast<Duration>(milliseconds(std::clamp<std::int64_t>(
         reader.next<std::int64_t>(), 0, milliseconds(std::chrono::hours(24)).count())));
     load.calls_ = readCalls(reader.next<int>());
-    if (!std::isfinite(load.level_) || !std::isfinite(load.called_.level_)) {
+    load.failedShare_ = reader.next<double>();
+    if (!std::isfinite(load.level_) || !std::isfinite(load.called_.level_)
+        || !std::isfinite(load.failedShare_)) {
         throw msgpack::type_error();
     }
     return load;
--- a/src/libsidecar/link_server.cpp
+++ b/src/libsidecar/link_server.cpp
@@ -1,5 +1,6 @@
 #include "link_server.h"
 
+#include "outcome_share.h"
 #include "socket_options.h"
 #include "wagtailhead/log.h"
 
@@ -217,8 +218,9 @@
 auto AsioLinkServer::tick(TimePoint now) -> void
 {
     const auto load = parts_.gate_.load();
-    const bool changed
-        = differs(load.level_, told_.level_) || differs(load.called_.level_, told_.called_.level_);
+    const bool changed = differs(load.level_, told_.level_)
+        || differs(load.called_.level_, told_.called_.level_)
+        || (load.failedShare_ >= failingShare) != (told_.failedShare_ >= failingShare);
     const bool refuses = load.level_ > 0 || load.called_.level_ > 0;
     if (!changed && (!refuses || now - toldAt_ < loadInterval)) {
         return;
--- a/src/libsidecar/retry_budgets.cpp
+++ b/src/libsidecar/retry_budgets.cpp
@@ -1,13 +1,16 @@
 #include "retry_budgets.h"
 
+#include "outcome_share.h"
+
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace wagtailhead {
 
 namespace {
 
-constexpr std::array<const char*, 3> decisionNames { "repeat", "overloaded", "no-budget" };
+constexpr std::array<const char*, 4> decisionNames { "repeat", "overloaded", "failing", "no-budget" };
 
 /// From this shedding level on a service fails for lack of capacity, and retries add to the overload.
 constexpr double overloadLevel = 0.1;
@@ -25,27 +28,28 @@
 {
 }
 
-auto RetryBudgets::optionsFor(double part) const -> RetryBudgetOptions
+auto RetryBudgets::optionsFor(double part) const -> RetryBucketOptions
 {
     const auto nodes = static_cast<double>(std::max<std::size_t>(directory_.size(), 1));
-    return { options_.share_ * part, std::max(options_.burst_ * part / nodes, 1.0) };
+    return { options_.share_ * part, options_.burst_ * part / nodes, options_.window_ };
 }
 
-auto RetryBudgets::budgetsOf(const std::string& service) -> Budgets&
+auto RetryBudgets::bucketsOf(const std::string& service) -> Buckets&
 {
-    auto& budgets = services_[service];
-    if (!budgets) {
-        budgets
-            = std::make_unique<Budgets>(optionsFor(options_.ranPart_), optionsFor(options_.rejectedPart_));
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        return found->second;
     }
-    return *budgets;
+    const Buckets buckets { RetryBucket(optionsFor(options_.ranPart_)),
+        RetryBucket(optionsFor(rejectedPart())) };
+    return services_.emplace(service, buckets).first->second;
 }
 
-auto RetryBudgets::onFirstTry(const std::string& service) -> void
+auto RetryBudgets::onFirstTry(const std::string& service, TimePoint now) -> void
 {
-    auto& budgets = budgetsOf(service);
-    budgets.ran_.onFirstTry();
-    budgets.rejected_.onFirstTry();
+    auto& buckets = bucketsOf(service);
+    buckets.ran_.onFirstTry(now);
+    buckets.rejected_.onFirstTry(now);
 }
 
 auto RetryBudgets::take(const std::string& service, bool ran, TimePoint now) -> RetryGrant
@@ -55,18 +59,38 @@
     if (!makesNoCalls && directory_.level(service, now).level_ >= overloadLevel) {
         return RetryGrant::Overloaded;
     }
-    auto& budgets = budgetsOf(service);
-    const bool taken = ran && !makesNoCalls ? budgets.ran_.tryTake() : budgets.rejected_.tryTake();
+    if (ran && !makesNoCalls && directory_.failedShare(service, now) >= failingShare) {
+        return RetryGrant::Failing;
+    }
+    auto& buckets = bucketsOf(service);
+    const bool taken = ran && !makesNoCalls ? buckets.ran_.tryTake(now) : buckets.rejected_.tryTake(now);
     return taken ? RetryGrant::Granted : RetryGrant::NoBudget;
 }
 
+auto RetryBudgets::rejectedPart() const -> double
+{
+    return backendFails_ ? options_.rejectedPartWhileFailing_ : options_.rejectedPart_;
+}
+
+auto RetryBudgets::configureBuckets() -> void
+{
+    for (auto& [service, buckets] : services_) {
+        buckets.ran_.configure(optionsFor(options_.ranPart_));
+        buckets.rejected_.configure(optionsFor(rejectedPart()));
+    }
+}
+
 auto RetryBudgets::setBounds(double share, double burst) -> void
 {
     options_.share_ = share;
     options_.burst_ = burst;
-    for (const auto& [service, budgets] : services_) {
-        budgets->ran_.configure(optionsFor(options_.ranPart_));
-        budgets->rejected_.configure(optionsFor(options_.rejectedPart_));
+    configureBuckets();
+}
+
+auto RetryBudgets::setBackendFails(bool fails) -> void
+{
+    if (std::exchange(backendFails_, fails) != fails) {
+        configureBuckets();
     }
 }
 
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -142,7 +142,9 @@
     , entry_({ .node_ = settings_.node_,
                  .service_ = settings_.service_,
                  .headers_ = headers_,
-                 .retries_ = { .share_ = settings_.retryShare_, .burst_ = settings_.retryBurst_ },
+                 .retries_ = { .share_ = settings_.retryShare_,
+                     .burst_ = settings_.retryBurst_,
+                     .window_ = settings_.retryWindow_ },
                  .seed_ = settings_.seed_ + 1 },
           { directory_, links_, gate_, metrics_, [this] {
                return siteState_->configuration();
@@ -526,6 +528,7 @@
 {
     const auto now = Clock::now();
     entry_.tick();
+    entry_.retryBudgets().setBackendFails(gate_.failedShare() >= failingShare);
     if (++ticks_ % slowTicks == 0) {
         spreadLevels();
         gate_.tick();
