perf(sidecar): a restarted node reads its own entry and a stale list of the others

Cause: after a power loss of the whole site each of 195 nodes read the current list of all nodes, four pages of 50 each, to learn whether its own backend server had been leaving. Change: that is answered by one read of the node's own entry; the others come from a stale list at a tenth of the price, and what it lacks from the watchers of the zone. The configuration is still read as it is now.

--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -19,6 +19,8 @@
 /// When all nodes start at once, each has published its entry after this time, most of them including the
 /// first report of the backend server.
 constexpr Duration firstListDelay = milliseconds(2200);
+/// Pause after a failed read of this node's entry.
+constexpr Duration ownEntryPause = milliseconds(500);
 constexpr Duration roleCheckInterval = milliseconds(500);
 /// Minimum interval between requests for all entries after a digest mismatch.
 constexpr Duration entriesRequestInterval = seconds(2);
@@ -32,6 +34,7 @@
     : options_(std::move(options))
     , parts_(std::move(parts))
     , publisher_(std::make_shared<EntryPublisher>(parts_.context_, parts_.store_))
+    , ownEntryTimer_(parts_.context_)
 {
     configurationWatch_ = std::make_shared<KindWatch>(parts_.context_, parts_.store_,
         parts_.platform_.configurationKind_, configurationBatch, options_.seed_,
@@ -62,11 +65,10 @@
 auto SiteState::start() -> void
 {
     const auto delay = options_.firstStart_ ? firstListDelay : Duration::zero();
-    // A node that starts for the first time has nothing to lose to a stale list: the watchers of its zone
-    // tell it what the list lacks. After a restart the list decides whether the backend server may be used.
-    const auto freshness = options_.firstStart_ ? Freshness::MayBeStale : Freshness::Current;
-    configurationWatch_->start(delay, freshness);
-    nodeWatch_->start(delay, freshness);
+    // The watchers of the zone tell this node what a stale list of the nodes lacks. The configuration has to
+    // be current after a restart: there may be no other node that has it.
+    configurationWatch_->start(delay, options_.firstStart_ ? Freshness::MayBeStale : Freshness::Current);
+    nodeWatch_->start(delay, Freshness::MayBeStale);
 }
 
 auto SiteState::onConfigurationObject(const StoredObject& object) -> void
@@ -105,13 +107,54 @@
 auto SiteState::onNodeList(const KindList& list) -> void
 {
     std::set<std::string> names;
+    const bool ownMayBeStale = list.freshness_ == Freshness::MayBeStale && !options_.firstStart_;
     for (const auto& object : list.objects_) {
-        applyObject(object);
+        if (object.name_ != options_.self_.node_ || !ownMayBeStale) {
+            applyObject(object);
+        }
         names.insert(object.name_);
     }
     if (list.freshness_ == Freshness::Current) {
         removeUnlisted(names, list.requestedAt_);
+    } else if (!options_.firstStart_ && !hasNodeList_) {
+        readOwnEntry();
+        return;
+    }
+    onNodeListComplete();
+}
+
+auto SiteState::readOwnEntry() -> void
+{
+    parts_.store_.get(
+        nodeKind, options_.self_.node_, [this](const std::variant<StoredObject, StoreError>& result) {
+            if (!hasNodeList_) {
+                onOwnEntry(result);
+            }
+        });
+}
+
+auto SiteState::onOwnEntry(const std::variant<StoredObject, StoreError>& result) -> void
+{
+    const auto* error = std::get_if<StoreError>(&result);
+    if (error != nullptr && *error != StoreError::NotFound) {
+        ownEntryTimer_.expires_after(ownEntryPause);
+        ownEntryTimer_.async_wait([this](const asio::error_code& cancelled) {
+            if (!cancelled && !hasNodeList_) {
+                readOwnEntry();
+            }
+        });
+        return;
+    }
+    if (error != nullptr) {
+        publisher_->onMissing();
+    } else {
+        applyObject(std::get<StoredObject>(result));
     }
+    onNodeListComplete();
+}
+
+auto SiteState::onNodeListComplete() -> void
+{
     hasNodeList_ = true;
     publish(nullptr);
 }
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -88,6 +88,10 @@
     auto onConfigurationObject(const StoredObject& object) -> void;
     auto adopt(const std::string& text, const char* source) -> void;
     auto onNodeList(const KindList& list) -> void;
+    /// Reads this node's entry, which says whether its backend server was leaving, until the store answers.
+    auto readOwnEntry() -> void;
+    auto onOwnEntry(const std::variant<StoredObject, StoreError>& result) -> void;
+    auto onNodeListComplete() -> void;
     /// Removes the nodes that a current list does not name.
     auto removeUnlisted(const std::set<std::string>& listed, TimePoint requestedAt) -> void;
     auto onNodeChange(const StoredChange& change) -> void;
@@ -114,6 +118,7 @@
     std::string compressedConfiguration_; ///< Compressed text of `configuration_`.
     NewerVersions newerVersions_;
     std::shared_ptr<EntryPublisher> publisher_;
+    asio::steady_timer ownEntryTimer_; ///< Pause before this node's entry is read again.
     std::shared_ptr<KindWatch> configurationWatch_;
     std::shared_ptr<KindWatch> nodeWatch_;
     std::optional<WatchRoles> roles_; ///< Set once the node list has been received.
--- a/src/libsidecar/site_knowledge_test.cpp
+++ b/src/libsidecar/site_knowledge_test.cpp
@@ -38,9 +38,10 @@
         written_.push_back(object.value_);
         write_ = std::move(callback);
     }
-    auto get(const std::string& /*kind*/, const std::string& /*name*/, Callback<StoredObject> /*callback*/)
+    auto get(const std::string& /*kind*/, const std::string& /*name*/, Callback<StoredObject> callback)
         -> void override
     {
+        get_ = std::move(callback);
     }
     auto remove(const std::string& /*kind*/, const std::string& name, std::uint64_t revision,
         Callback<std::monostate> /*callback*/) -> void override
@@ -53,9 +54,26 @@
         return {};
     }
 
-    auto answerList(const std::string& kind, std::vector<StoredObject> objects) -> void
+    /// Answers a list, and the read of the node's entry that may follow it from the same objects.
+    auto answerList(const std::string& kind, const std::vector<StoredObject>& objects) -> void
     {
-        std::exchange(lists_[kind], nullptr)(StoredList { std::move(objects), 10 });
+        std::exchange(lists_[kind], nullptr)(StoredList { objects, 10 });
+        answerGet(objects);
+    }
+    auto answerGet(const std::vector<StoredObject>& objects) -> void
+    {
+        if (!get_) {
+            return;
+        }
+        const auto own = std::find_if(objects.begin(), objects.end(), [](const StoredObject& object) {
+            return object.name_ == "self";
+        });
+        const auto answer = std::exchange(get_, nullptr);
+        if (own == objects.end()) {
+            answer(StoreError::NotFound);
+        } else {
+            answer(*own);
+        }
     }
 
     std::map<std::string, Callback<StoredList>> lists_;
@@ -64,6 +82,7 @@
     std::vector<std::string> written_;
     std::vector<std::string> removed_;
     Callback<StoredObject> write_;
+    Callback<StoredObject> get_;
 };
 
 auto freePort(asio::io_context& context) -> std::uint16_t
@@ -345,6 +364,26 @@
     cr_assert(fixture.store_.written_.size() == 1, "the entry was written once more");
 }
 
+// An operator's report: after a restart of a process, a server that had left was in use again. A stale list
+// may name it as ready; only the current entry of the node counts.
+Test(site_knowledge, a_restarted_node_reads_its_own_entry_as_it_is_now)
+{
+    NodeFixture fixture;
+    auto left = entryOf("self", 950);
+    left.phase_ = BackendPhase::Draining;
+    std::exchange(fixture.store_.lists_[nodeKind], nullptr)(
+        StoredList { { stored(entryOf("self", 900)), stored(entryOf("n1", 1)) }, 10 });
+    cr_assert(fixture.store_.freshness_[nodeKind] == Freshness::MayBeStale);
+    cr_assert(fixture.store_.freshness_["config"] == Freshness::Current);
+    cr_assert(!fixture.siteState_->hasNodeList(), "reports of a ready backend server are not taken yet");
+    std::exchange(fixture.store_.get_, nullptr)(StoreError::NoAnswer);
+    fixture.runFor(milliseconds(600));
+    fixture.store_.answerGet({ stored(left) });
+    cr_assert(fixture.siteState_->hasNodeList());
+    cr_assert(fixture.reports_.status().phase_ == BackendPhase::Draining);
+    cr_assert(fixture.directory_.find("n1") != nullptr);
+}
+
 // An operator's report: after a restart of a process, a server that had left was in use again. The process
 // confirmed the leave while the store was away, so the store still names the backend server as ready; other
 // nodes know better.
