--- a/src/libhttp1/http1_reader_test.cpp
+++ b/src/libhttp1/http1_reader_test.cpp
@@ -146,3 +146,23 @@
     head.feed("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n");
     cr_assert(head.state() == ReadState::Complete, "a response to HEAD has no body");
 }
+
+// An operator's report: a response that broke off halfway reached the caller as a complete success.
+Test(http1_reader, a_response_cut_at_any_byte_is_not_complete)
+{
+    const std::string responses[] = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nabcdefgh",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n4;x=1\r\nefgh\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nabcdefgh\r\n0\r\nT: t\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nabcdefgh",
+    };
+    for (const auto& response : responses) {
+        for (std::size_t size = 0; size <= response.size(); ++size) {
+            MessageReader reader(Kind::Responses);
+            reader.feed(std::string_view(response).substr(0, size));
+            reader.finish();
+            cr_expect((reader.state() == ReadState::Complete) == (size == response.size()),
+                "%zu of %zu bytes of %s", size, response.size(), response.c_str());
+        }
+    }
+}
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -1,4 +1,5 @@
 /// Frames, and links between a client and a server on loopback.
+#include "frame_stream.h"
 #include "gate_test_support.h"
 #include "link_client.h"
 #include "link_server.h"
@@ -325,3 +326,55 @@
         return world.lost_ == 1;
     }));
 }
+
+// An operator's report: a second copy of an answer reached the next caller. Here a node sends a reply twice
+// on a link.
+Test(link, a_reply_that_comes_twice_answers_one_call)
+{
+    World world;
+    world.server_.reset();
+    asio::ip::tcp::acceptor acceptor(
+        world.context_, { asio::ip::make_address("127.0.0.1"), world.node_.link_.port_ });
+    std::shared_ptr<FrameStream> peer;
+    std::vector<std::uint64_t> calls;
+    const auto reply = [&](std::uint64_t id, const std::string& body) {
+        ReplyFrame frame { id, 0, {} };
+        frame.reply_.outcome_ = GateOutcome::Answered;
+        frame.reply_.response_.body_ = body;
+        peer->send(frame);
+    };
+    acceptor.async_accept([&](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        cr_assert(!error);
+        peer = std::make_shared<FrameStream>(std::move(socket));
+        peer->start({ [&](Frame frame) {
+                         if (const auto* call = std::get_if<CallFrame>(&frame)) {
+                             calls.push_back(call->id_);
+                         }
+                     },
+            [](const std::string&) {} });
+        peer->send(HelloFrame { "n1", 11, 0 });
+    });
+    std::vector<std::string> answers(2);
+    int answered = 0;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        world.client_.call(world.node_, testCall("a" + std::to_string(i)), [&, i](LinkResult got) {
+            ++answered;
+            answers[i] = std::get<GateReply>(got.value_).response_.body_;
+        });
+        cr_assert(world.runUntil([&] {
+            return calls.size() == i + 1;
+        }));
+        if (i == 0) {
+            reply(calls[0], "first");
+            reply(calls[0], "copy");
+        } else {
+            reply(calls[0], "late copy");
+            reply(calls[1], "second");
+        }
+        cr_assert(world.runUntil([&] {
+            return answered == static_cast<int>(i) + 1;
+        }));
+    }
+    cr_assert(answers == (std::vector<std::string> { "first", "second" }));
+    peer->close();
+}
