--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -165,8 +165,8 @@
         reply.response_.status_, reply.response_.headers_.lines(), reply.response_.body_,
         reply.load_.running_, reply.load_.queued_, reply.load_.limit_,
         microsecondsOf(reply.load_.serviceTime_), reply.load_.level_, reply.load_.called_.level_,
-        millisecondsOf(reply.load_.called_.age_), static_cast<int>(reply.load_.calls_),
-        reply.load_.failedShare_, reply.fromBackend_);
+        millisecondsOf(reply.load_.called_.age_), static_cast<int>(reply.load_.calls_), reply.fromBackend_,
+        reply.load_.failedShare_);
 }
 
 auto pack(StringStream& stream, const CancelFrame& frame) -> void
@@ -271,14 +271,22 @@
     load.called_.age_ = std::chrono::duration_cast<Duration>(milliseconds(std::clamp<std::int64_t>(
         reader.next<std::int64_t>(), 0, milliseconds(std::chrono::hours(24)).count())));
     load.calls_ = readCalls(reader.next<int>());
-    load.failedShare_ = reader.next<double>();
-    if (!std::isfinite(load.level_) || !std::isfinite(load.called_.level_)
-        || !std::isfinite(load.failedShare_)) {
+    if (!std::isfinite(load.level_) || !std::isfinite(load.called_.level_)) {
         throw msgpack::type_error();
     }
     return load;
 }
 
+/// Reads a field that processes of earlier versions do not send. It stands behind all others.
+auto readFailedShare(ArrayReader& reader) -> double
+{
+    const double share = reader.left() > 0 ? reader.next<double>() : 0;
+    if (!std::isfinite(share)) {
+        throw msgpack::type_error();
+    }
+    return share;
+}
+
 auto readCall(ArrayReader& reader) -> CallFrame
 {
     CallFrame frame;
@@ -321,6 +329,7 @@
     reply.response_.body_ = reader.next<std::string>();
     reply.load_ = readLoad(reader);
     reply.fromBackend_ = reader.next<bool>();
+    reply.load_.failedShare_ = readFailedShare(reader);
     return frame;
 }
 
@@ -383,8 +392,11 @@
         return EntryFrame { readEntry(reader.nextArray()) };
     case typeNumber<BeatFrame>():
         return readBeat(reader);
-    case typeNumber<LoadFrame>():
-        return LoadFrame { readLoad(reader) };
+    case typeNumber<LoadFrame>(): {
+        LoadFrame frame { readLoad(reader) };
+        frame.load_.failedShare_ = readFailedShare(reader);
+        return frame;
+    }
     default:
         throw msgpack::type_error();
     }
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -137,6 +137,40 @@
     cr_assert(!valueOf(takeFrame(rest)), "an incomplete frame was taken");
 }
 
+// Nodes are upgraded one after the other, so a node reads frames of the version before.
+Test(link_frames, the_share_of_failures_may_be_missing)
+{
+    constexpr std::size_t doubleBytes = 9; // With its type.
+    constexpr std::size_t lengthByte = 3;
+    constexpr std::size_t countByte = 4;
+    LoadFrame load;
+    load.load_.limit_ = 7;
+    load.load_.failedShare_ = 0.5;
+    ReplyFrame reply;
+    reply.reply_.fromBackend_ = true;
+    reply.reply_.load_.failedShare_ = 0.5;
+    for (const Frame& frame : { Frame(load), Frame(reply) }) {
+        std::string bytes;
+        appendFrame(bytes, frame);
+        std::string_view whole = bytes;
+        cr_expect(isOk(takeFrame(whole)));
+        std::string old = bytes.substr(0, bytes.size() - doubleBytes);
+        old[lengthByte] = static_cast<char>(old[lengthByte] - doubleBytes);
+        const bool longArray = static_cast<unsigned char>(old[countByte]) == 0xdc;
+        auto& count = old[longArray ? countByte + 2 : countByte];
+        count = static_cast<char>(count - 1);
+        std::string_view rest = old;
+        const auto read = takeFrame(rest);
+        cr_assert(isOk(read) && valueOf(read), "frame type %zu", frame.index());
+        if (const auto* known = std::get_if<LoadFrame>(&*valueOf(read))) {
+            cr_expect(known->load_.limit_ == 7 && known->load_.failedShare_ == 0);
+        } else {
+            const auto& got = std::get<ReplyFrame>(*valueOf(read)).reply_;
+            cr_expect(got.fromBackend_ && got.load_.failedShare_ == 0);
+        }
+    }
+}
+
 Test(link_frames, refuse_foreign_bytes)
 {
     const std::string cases[] = {
--- a/src/libsidecar/outcome_share.h
+++ b/src/libsidecar/outcome_share.h
@@ -14,6 +14,7 @@
     {
     }
 
+    /// Counts one request. Precondition: `now` never decreases.
     auto add(bool failed, TimePoint now) -> void;
 
     /// Returns the share of failures, or 0 if fewer requests than `minRequests` count.
--- a/src/libsidecar/retry_bucket.h
+++ b/src/libsidecar/retry_bucket.h
@@ -21,7 +21,7 @@
 public:
     explicit RetryBucket(const RetryBucketOptions& options);
 
-    /// Adds the share of one first try.
+    /// Adds the share of one first try. Precondition: `now` never decreases.
     auto onFirstTry(TimePoint now) -> void;
 
     /// Takes one retry. Returns false, and takes nothing, if less than one token is left.
