--- a/src/libhttp1/http1_pool.h
+++ b/src/libhttp1/http1_pool.h
@@ -33,9 +33,8 @@
     Duration idleLimit_ = seconds(5);
     /// The server's own limit, where it names one, minus this time for the way.
     Duration idleMargin_ = milliseconds(700);
-    /// Header in which the server repeats the id of a request. A late copy of the connection's previous
-    /// response, which it tells by this header, is dropped, and the response to the present request is
-    /// awaited.
+    /// Header in which the server repeats the id of a request. A response with the id of the connection's
+    /// previous request is a late copy: it is dropped, and the response to the present request is awaited.
     std::string echoHeader_ {};
     std::size_t maxHeaderBytes_ = std::size_t { 64 } << 10;
     std::size_t maxResponseBytes_ = std::size_t { 64 } << 20;
@@ -60,8 +59,7 @@
     std::uint64_t opened_ = 0;
     std::uint64_t reused_ = 0;
     std::uint64_t lost_ = 0;
-    std::uint64_t lateCopies_
-        = 0; ///< Responses dropped since they belong to the connection's previous request.
+    std::uint64_t lateCopies_ = 0; ///< Dropped responses to the connection's previous request.
     std::size_t bufferedBytes_ = 0; ///< Of responses that are being read.
     std::size_t open_ = 0;
     std::size_t idle_ = 0;
--- a/src/libsidecar/entry_publisher.cpp
+++ b/src/libsidecar/entry_publisher.cpp
@@ -33,7 +33,7 @@
     return entry;
 }
 
-/// Returns whether readers of the stored text would treat the node as the entry tells. The generation only
+/// Returns whether readers of the stored text would treat the node as the entry says. The generation only
 /// orders entries, and each write is paid for.
 auto saysTheSame(const NodeEntry& entry, const std::string& storedText) -> bool
 {
--- a/src/libsidecar/kind_watch.h
+++ b/src/libsidecar/kind_watch.h
@@ -37,7 +37,7 @@
     /// Lists the objects after `delay`, and again until that succeeds or skipList() is called. Later lists,
     /// after the history was lost, are current ones.
     auto start(Duration delay, Freshness freshness) -> void;
-    /// Makes no calls while held. Used while another watch knows that the store cannot be reached.
+    /// Makes no calls while held, for example while the store is known to be unreachable.
     auto setHeld(bool held) -> void;
     /// Whether to watch for changes. A watch under way is awaited all the same: it is paid for already.
     auto setWatching(bool watching) -> void;
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -65,7 +65,7 @@
 auto SiteState::start() -> void
 {
     const auto delay = options_.firstStart_ ? firstListDelay : Duration::zero();
-    // The watchers of the zone tell this node what a stale list of the nodes lacks. The configuration has to
+    // The watchers of the zone send this node what a stale list of the nodes lacks. The configuration has to
     // be current after a restart: there may be no other node that has it.
     configurationWatch_->start(delay, options_.firstStart_ ? Freshness::MayBeStale : Freshness::Current);
     nodeWatch_->start(delay, Freshness::MayBeStale);
