test(sidecar): the list that a node appears in is a current one

Cause: since the first list after a restart may be stale, the test of a node that appears while a list is read removed nothing and passed with the fix taken out.

--- a/src/libsidecar/site_knowledge_test.cpp
+++ b/src/libsidecar/site_knowledge_test.cpp
@@ -342,6 +342,13 @@
 Test(site_knowledge, a_node_that_appears_while_the_store_list_is_read_stays)
 {
     NodeFixture fixture;
+    fixture.store_.answerList("config", {});
+    fixture.store_.answerList(nodeKind, { stored(entryOf("n1", 1)) });
+    fixture.siteState_->tick(Clock::now());
+    fixture.run();
+    std::exchange(fixture.store_.watches_[nodeKind], nullptr)(StoreError::HistoryGone);
+    fixture.runFor(milliseconds(250));
+    cr_assert(fixture.store_.freshness_[nodeKind] == Freshness::Current, "only such a list removes nodes");
     fixture.siteState_->onEntry(entryOf("new", 1));
     fixture.store_.answerList(nodeKind, { stored(entryOf("n1", 1)) });
     cr_assert(fixture.directory_.find("new")->phase_ == BackendPhase::Ready);
