--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -3,6 +3,7 @@
 import hashlib
 import itertools
 import json
+import random
 import time
 
 from http_codec import HttpError, abort, call, read_request, read_response, request_bytes, serve, split_address
@@ -40,6 +41,8 @@
         self.born_ms = int((time.time() + clock_offset_s) * 1000)
         self.sequence = 0
         self.state = "ready"
+        self.failed_share = 0.0  # Of the requests that it runs; they get `failed_status`, which says nothing else.
+        self.failed_status = 500
         self.running = 0
         self.server = None
         self.tasks = set()
@@ -127,7 +130,8 @@
             self.running -= 1
         headers["X-Wagtailhead-Response-Seal"] = f"{self.id}.{attempt}.{size}"
         headers["X-Wagtailhead-Backend-Load"] = f"{self.running},0,{self.capacity}"
-        await self.send(writer, 200, headers, attempt.encode().ljust(size, b".")[:size])
+        status = self.failed_status if random.random() < self.failed_share else 200
+        await self.send(writer, status, headers, attempt.encode().ljust(size, b".")[:size])
 
     async def send(self, writer, status, headers, body):
         """Writes an answer, no faster than it is taken."""
@@ -147,6 +151,7 @@
         self.ended = 0.0
         self.end = "sent"  # "answered", "closed", "refused", "left"
         self.status = 0
+        self.retry_after = 0.0
         self.kept = False
 
 
@@ -193,6 +198,7 @@
             answer.end = "closed"
             return
         answer.end, answer.status = "answered", message.status
+        answer.retry_after = float(message.headers.get("retry-after", "0"))
         if not message.keeps_alive():
             self.drop()
 
