--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,116 +1,104 @@
-"""Callers that read downloads slowly make the node exceed its memory; the orders in flight are lost with it."""
+"""Callers that stop reading for three seconds lose the answers to their orders."""
 import asyncio
 import os
 import signal
+import socket
 import sys
+import time
 
 CASE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(CASE), "common"))
 
-from site_parts import MEMORY_MB, TROUBLE, main, now, rule  # noqa: E402
-from servers import CHUNK, Backend, Caller, new_id, split_address  # noqa: E402
-from http_codec import abort, request_bytes  # noqa: E402
+from site_parts import GRACE_S, TROUBLE, main, now, rule  # noqa: E402
+from servers import Backend, new_id, split_address  # noqa: E402
 
-MACHINES = [("riga-a", "pasutijumi"), ("riga-a", "faili"), ("riga-b", "faili"), ("riga-b", "pasutijumi")]
-SHEET_BYTES = 24_000_000  # One recipe sheet with its pictures.
-SHEET_BUDGET_S = 8.0  # Time budget of a download; the route's timeout is as long.
-READING_S = 7.0  # A slow caller has the whole answer in this time.
-SHEET_PAUSE_S = 0.45  # Between two downloads at this machine.
-ORDER_CALLERS = 8
-ORDER_WORK_S = 0.5
-PLAYED_S = 16.0
-MOST_LOST = 3  # "More than three times" breaks the rule.
-MEMORY_BYTES = MEMORY_MB * 1024 * 1024  # The generous reading of the settings' megabytes.
+MACHINES = [("riga-a", "katalogs"), ("riga-a", "pasutijumi"), ("riga-b", "pasutijumi"), ("riga-b", "katalogs")]
+ANSWER_BYTES = 30000  # The largest answer to an order in the site file.
+ORDER_BYTES = 1200
+WINDOW_BYTES = 16384  # Receive buffer of a caller.
+BUDGET_S = 5.0  # Time budget of an order; the route's timeout is as long.
+PAUSE_S = 3.0
+CALLERS = 8
+MOST_LOST = 3  # "More than three times" breaks the rule at any time.
 
 
-class Node:
-    """Watches the machine under test as the platform does: a process that exceeds its memory is killed."""
+class Reader:
+    """A caller with one kept channel, on blocking sockets in a thread of its own."""
 
     def __init__(self, machine, record):
-        self.machine = machine
         self.record = record
-        self.peak = 0
-        self.killed_at = None
-
-    async def watch(self):
-        """Kills the process once it holds more than its settings allow."""
-        while self.killed_at is None:
-            used = self.machine.memory_bytes()
-            self.peak = max(self.peak, used)
-            if used > MEMORY_BYTES:
-                self.killed_at = now()
-                self.record.say(f"{self.machine.name} holds {used / 1e6:.0f} MB and is killed at {now():.2f}")
-                self.machine.send(signal.SIGKILL)
-            await asyncio.sleep(0.01)
-
-
-async def download(machine, record, read):
-    """One download on a channel of its own. A slow caller reads at the rate that just fits its time budget."""
-    attempt, begun = new_id("d"), now()
-    received = 0
-    try:
-        reader, writer = await asyncio.open_connection(*split_address(machine.outbound), limit=CHUNK)
-    except OSError:
-        return
-    try:
-        writer.write(request_bytes("GET", "/sheets/x", {
-            "Host": "shop.example", "X-Wagtailhead-Attempt-Id": attempt,
-            "X-Wagtailhead-Deadline-Ms": str(int(SHEET_BUDGET_S * 1000))}))
-        while received < SHEET_BYTES and now() < begun + SHEET_BUDGET_S:
-            data = await asyncio.wait_for(reader.read(CHUNK), begun + SHEET_BUDGET_S - now())
-            if not data:
-                break
-            received += len(data)
-            if TROUBLE:
-                due = begun + READING_S * received / SHEET_BYTES
-                await asyncio.sleep(max(due - now(), 0))
-    except (OSError, asyncio.TimeoutError):
-        pass
-    abort(writer)
-    read.append(received >= SHEET_BYTES)
-    record.note(f"{attempt} sent {begun:.3f}: {received} bytes in {now() - begun:.2f} s")
-
-
-async def order(machine, record, goes_on, ended):
-    """One caller of orders with a kept channel."""
-    caller = Caller(machine, record)
-    while goes_on():
-        ended.append(await caller.attempt("shop.example", "/orders/x", 5, "POST", b"y" * 1200))
-        await asyncio.sleep(0.05)
-
-
-def work(target):
-    """Returns the seconds and the bytes of an answer."""
-    return (0.07, SHEET_BYTES) if target.startswith("/sheets/") else (ORDER_WORK_S, 5000)
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        self.socket.settimeout(BUDGET_S)
+        self.socket.connect(split_address(machine.outbound))
+        self.used = False
+
+    def order(self, pauses):
+        """Sends an order and reads its answer. Returns the attempt, whether the channel was kept, and what was lost."""
+        attempt, kept, begun = new_id("c"), self.used, now()
+        self.used = True
+        head = (f"POST /orders/x HTTP/1.1\r\nHost: shop.example\r\nX-Wagtailhead-Attempt-Id: {attempt}\r\n"
+                f"X-Wagtailhead-Deadline-Ms: {int(BUDGET_S * 1000)}\r\nContent-Length: {ORDER_BYTES}\r\n\r\n")
+        received, wanted, error = b"", None, ""
+        try:
+            self.socket.sendall(head.encode() + b"y" * ORDER_BYTES)
+            while wanted is None or len(received) < wanted:
+                if pauses and received:
+                    time.sleep(PAUSE_S)
+                    pauses = False
+                data = self.socket.recv(2048)
+                if not data:
+                    error = "the channel was closed"
+                    break
+                received += data
+                end = received.find(b"\r\n\r\n")
+                if wanted is None and end >= 0:
+                    lengths = [line.split(b":")[1] for line in received[:end].lower().split(b"\r\n")
+                               if line.startswith(b"content-length:")]
+                    wanted = end + 4 + int(lengths[0])
+        except OSError as failure:
+            error = str(failure)
+        status = received[9:12].decode("latin-1")
+        self.record.note(f"{attempt} sent {begun:.3f}, kept {kept}, ended {now():.3f}: status {status},"
+                         f" {len(received)} of {wanted} bytes {error}")
+        return attempt, kept, f"{attempt} got {len(received)} of {wanted} bytes, then: {error}" if error else ""
+
+
+async def orders(readers, pauses):
+    """Lets all readers send an order at once."""
+    return await asyncio.gather(*[asyncio.to_thread(reader.order, pauses) for reader in readers])
 
 
 async def play(site, record):
-    """Returns the orders that were passed on and whose channels were closed without an answer."""
-    runs, ended, read = [], [], []
+    """Returns the orders whose answers were cut."""
+    runs = []
     await site.start()
     for machine in site.machines:
-        await Backend(machine, record, runs, work).start()
-    site.configure([rule("sheet", "shop.example", "/sheets/", "download", "faili", SHEET_BUDGET_S, 2, 2.0),
-                    rule("order", "shop.example", "/orders/", "unsafe", "pasutijumi", 5, 0)], ["faili", "pasutijumi"])
+        await Backend(machine, record, runs, lambda target: (0.12, ANSWER_BYTES)).start()
+    site.configure([rule("order", "shop.example", "/orders/", "unsafe", "pasutijumi", BUDGET_S, 0)],
+                   ["katalogs", "pasutijumi"])
     await site.wait_ready()
     await asyncio.sleep(2)
-    node = Node(site.machines[0], record)
-    watch = asyncio.ensure_future(node.watch())
-    until = now() + PLAYED_S
-    goes_on = lambda: now() < until and node.killed_at is None  # noqa: E731
-    tasks = [asyncio.ensure_future(order(node.machine, record, goes_on, ended)) for _ in range(ORDER_CALLERS)]
-    while goes_on():
-        tasks.append(asyncio.ensure_future(download(node.machine, record, read)))
-        await asyncio.sleep(SHEET_PAUSE_S)
-    await asyncio.wait(tasks)
-    watch.cancel()
-    record.say(f"most memory of {node.machine.name}: {node.peak / 1e6:.0f} MB; {len(ended)} orders;"
-               f" {sum(read)} of {len(read)} downloads were whole")
+    entry = site.machines[0]
+    readers = [Reader(entry, record) for _ in range(CALLERS)]
+    await orders(readers, False)  # From here on the channels are kept ones.
+    results = await orders(readers, TROUBLE)
+    ran = {run.attempt for run in runs}
+    lost = [f"LOST at any time: {text}; the order ran: {attempt in ran}" for attempt, kept, text in results
+            if text and kept]
+    found = lost if len(lost) > MOST_LOST else []
+
+    readers = [Reader(site.machines[3], record) for _ in range(CALLERS)]
+    await orders(readers, False)
+    under_way = asyncio.ensure_future(orders(readers, TROUBLE))
+    await asyncio.sleep(0.5)
+    site.machines[3].send(signal.SIGTERM)
+    results = await under_way
     ran = {run.attempt for run in runs}
-    lost = [each for each in ended if each.end == "closed" and each.kept and each.attempt in ran]
-    if len(lost) <= MOST_LOST:
-        return []
-    return [f"LOST: order {each.attempt} ran, its kept channel was closed without an answer" for each in lost]
+    found += [f"LOST around a planned stop: {text}; the order ran: {attempt in ran}" for attempt, _, text in results
+              if text]
+    record.say(f"the stopped process ended in its grace time: {await site.machines[3].ended(GRACE_S)}")
+    return found
 
 
 main(CASE, MACHINES, play)
