test(review): case 3, a confirmed leave is forgotten by the restarted process; the cases are in order

A leave that was confirmed while the store was down lives in memory and in the other nodes only; the restarted process takes its older entry from the store and publishes it anew. The scripts end their processes when told to.

--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -3,7 +3,6 @@
 import hashlib
 import itertools
 import json
-import random
 import time
 
 from http_codec import HttpError, abort, call, read_request, read_response, request_bytes, serve, split_address
@@ -41,8 +40,6 @@
         self.born_ms = int((time.time() + clock_offset_s) * 1000)
         self.sequence = 0
         self.state = "ready"
-        self.failed_share = 0.0  # Of the requests that it runs; they get `failed_status`, which says nothing else.
-        self.failed_status = 500
         self.running = 0
         self.server = None
         self.tasks = set()
@@ -72,23 +69,46 @@
 
     async def beat_always(self):
         """Reports at intervals, whatever its state."""
-        while True:
+        while self.state != "left":
             await self.beat()
             await asyncio.sleep(BEAT_S)
 
+    def beat_body(self):
+        """Returns what a report says now."""
+        body = {"address": self.machine.backend, "born": self.born_ms,
+                "info": {"service": self.machine.service, "version": "v1", "zone": self.machine.zone,
+                         "capacity": self.capacity},
+                "status": {"state": self.state, "sequence": self.sequence, "coldLeftS": 0}}
+        return json.dumps(body).encode()
+
     async def beat(self):
         """Makes one report. Returns whether it was confirmed."""
         self.sequence += 1
         state = self.state
-        body = {"address": self.machine.backend, "born": self.born_ms,
-                "info": {"service": self.machine.service, "version": "v1", "zone": self.machine.zone,
-                         "capacity": self.capacity},
-                "status": {"state": state, "sequence": self.sequence, "coldLeftS": 0}}
-        answer = await call(self.machine.control, "PUT", f"/-/backends/{self.id}", json.dumps(body).encode())
+        answer = await call(self.machine.control, "PUT", f"/-/backends/{self.id}", self.beat_body())
         status = answer.status if answer else "no answer"
         self.record.note(f"beat of {self.id}: {state}, sequence {self.sequence}, born {self.born_ms}: {status}")
         return answer is not None and answer.status // 100 == 2
 
+    async def late_beat(self, delay_s):
+        """Makes a report of this moment that arrives late."""
+        self.sequence += 1
+        sequence, body = self.sequence, self.beat_body()
+        await asyncio.sleep(delay_s)
+        answer = await call(self.machine.control, "PUT", f"/-/backends/{self.id}", body)
+        self.record.note(f"late beat of {self.id}: sequence {sequence}, {delay_s} s late:"
+                         f" {answer.status if answer else 'no answer'}")
+
+    async def withdraw(self):
+        """Leaves without having reported it before. Returns the time of the confirmation."""
+        self.state = "left"
+        body = json.dumps({"born": self.born_ms}).encode()
+        answer = None
+        while answer is None or answer.status // 100 != 2:
+            answer = await call(self.machine.control, "DELETE", f"/-/backends/{self.id}", body)
+        self.record.note(f"withdrawal of {self.id} confirmed with {answer.status}")
+        return now()
+
     async def drain(self):
         """Reports that it leaves until that is confirmed. Returns the time of the confirmation."""
         self.state = "draining"
@@ -130,8 +150,7 @@
             self.running -= 1
         headers["X-Wagtailhead-Response-Seal"] = f"{self.id}.{attempt}.{size}"
         headers["X-Wagtailhead-Backend-Load"] = f"{self.running},0,{self.capacity}"
-        status = self.failed_status if random.random() < self.failed_share else 200
-        await self.send(writer, status, headers, attempt.encode().ljust(size, b".")[:size])
+        await self.send(writer, 200, headers, attempt.encode().ljust(size, b".")[:size])
 
     async def send(self, writer, status, headers, body):
         """Writes an answer, no faster than it is taken."""
@@ -151,7 +170,6 @@
         self.ended = 0.0
         self.end = "sent"  # "answered", "closed", "refused", "left"
         self.status = 0
-        self.retry_after = 0.0
         self.kept = False
 
 
@@ -198,7 +216,6 @@
             answer.end = "closed"
             return
         answer.end, answer.status = "answered", message.status
-        answer.retry_after = float(message.headers.get("retry-after", "0"))
         if not message.keeps_alive():
             self.drop()
 
--- a/review/common/site_parts.py
+++ b/review/common/site_parts.py
@@ -199,7 +199,8 @@
     async def start(self):
         """Starts the store and the processes."""
         await self.store.start(self.store_address, random.Random(1))
-        await self.store.start_fronts(self.machines) if hasattr(self.store, "start_fronts") else None
+        if hasattr(self.store, "start_fronts"):
+            await self.store.start_fronts(self.machines)
         for machine in self.machines:
             machine.start()
 
@@ -262,11 +263,13 @@
     async def quiet():
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _loop, _context: None)  # Connections that are open at the end.
+        for number in (signal.SIGTERM, signal.SIGINT):  # Told to end early: the processes are ended first.
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         return await whole()
 
     try:
         broken = asyncio.run(quiet())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         record.say(f"cannot run: {error!r}")
         finish(CANNOT_RUN)
     for text in broken[:10]:
