fix(sidecar): the lost answer to a watch is noticed within seconds

The store was silent for 4.5 s while configurations changed. All machines kept the old configuration for 31 s, and followed nothing that the store confirmed meanwhile.

Cause: a watch that waits has no other end than its own time-out, the longest wait of 30 s and 1.5 s. An answer that is lost, or a call that is sent into the silence, leaves the watcher waiting on a connection that carries nothing further, and it goes on telling its zone that it reaches the store. A held watch of the second kind waits in the same way.

Change: KindWatch checks its waiting watch every 2 s (entries: 10 s) by a stale read of the changes since its revision. Silence, or a change that was not reported, replaces the watch; after a failed call the store has to answer at once before it is watched for long. The soak has the fault (store_lapse), ends with a configuration that no older one can be taken for, and plays this fault alone in the tests.

--- a/src/include/wagtailhead/object_store.h
+++ b/src/include/wagtailhead/object_store.h
@@ -52,6 +52,7 @@
 struct ObjectStoreStats {
     std::uint64_t reads_ = 0;
     std::uint64_t watches_ = 0;
+    std::uint64_t checks_ = 0; ///< Calls of changesSoFar().
     std::uint64_t writes_ = 0;
     std::uint64_t failures_ = 0;
 };
@@ -61,6 +62,7 @@
 class ObjectStore {
 public:
     template <typename T> using Callback = std::function<void(std::variant<T, StoreError>)>;
+    using WatchId = std::uint64_t;
 
     virtual ~ObjectStore() = default;
 
@@ -69,9 +71,18 @@
     virtual auto list(const std::string& kind, Freshness freshness, Callback<StoredList> callback) -> void
         = 0;
 
-    /// Waits up to `wait` for a change after `revision`.
+    /// Waits up to `wait` for a change after `revision`. Returns a positive id for cancelWatch(). The answer
+    /// may be lost without a sign; changesSoFar() tells.
     virtual auto watch(const std::string& kind, std::uint64_t revision, Duration wait,
-        Callback<StoredChanges> callback) -> void
+        Callback<StoredChanges> callback) -> WatchId = 0;
+
+    /// Ends a watch; its callback does not run. Watches that have ended already are ignored.
+    virtual auto cancelWatch(WatchId id) -> void = 0;
+
+    /// Returns the changes after `revision` without waiting, at a tenth of the price of a watch. Changes of
+    /// the last seconds may be missing.
+    virtual auto changesSoFar(
+        const std::string& kind, std::uint64_t revision, Callback<StoredChanges> callback) -> void
         = 0;
 
     /// Creates an object; Conflict if it exists.
--- a/src/libhttp1/http1_pool.cpp
+++ b/src/libhttp1/http1_pool.cpp
@@ -112,6 +112,7 @@
     auto send(PoolCall call) -> CallId override;
     auto cancel(CallId id) -> void override;
     auto tick(TimePoint now) -> void override;
+    auto closeIdle() -> void override;
     auto setServer(const Address& server) -> void override;
     auto setMaxConnections(std::size_t count) -> void override
     {
@@ -140,7 +141,7 @@
     auto bufferedBytes() const -> std::size_t;
     auto takeIdle(Duration maxIdle) -> std::shared_ptr<ClientConnection>;
     auto startWaiting() -> void;
-    auto closeIdle(TimePoint now) -> void;
+    auto closeExpired(TimePoint now) -> void;
 
     struct WaitingCall {
         CallId id_ = 0;
@@ -505,10 +506,10 @@
     for (auto& call : expired) {
         call.call_.done_(Failure::NotSent);
     }
-    closeIdle(now);
+    closeExpired(now);
 }
 
-auto AsioPool::closeIdle(TimePoint now) -> void
+auto AsioPool::closeExpired(TimePoint now) -> void
 {
     while (!idle_.empty() && now - idle_.front()->idleSince() > idle_.front()->idleLimit()) {
         idle_.front()->abandon();
@@ -516,15 +517,20 @@
     }
 }
 
-auto AsioPool::setServer(const Address& server) -> void
+auto AsioPool::closeIdle() -> void
 {
-    options_.server_ = server;
     for (const auto& connection : idle_) {
         connection->abandon();
     }
     idle_.clear();
 }
 
+auto AsioPool::setServer(const Address& server) -> void
+{
+    options_.server_ = server;
+    closeIdle();
+}
+
 auto AsioPool::stats() const -> PoolStats
 {
     auto stats = stats_;
--- a/src/libhttp1/http1_pool.h
+++ b/src/libhttp1/http1_pool.h
@@ -83,6 +83,9 @@
     /// Ends calls whose time is over and closes old idle connections. Call it every 100 ms or so.
     virtual auto tick(TimePoint now) -> void = 0;
 
+    /// Closes all idle connections, for example because the path to the server may have gone silent.
+    virtual auto closeIdle() -> void = 0;
+
     /// Directs further connections to another address; idle ones are closed.
     virtual auto setServer(const Address& server) -> void = 0;
 
--- a/src/libsidecar/gate_test_support.h
+++ b/src/libsidecar/gate_test_support.h
@@ -21,6 +21,7 @@
         sent_.erase(id);
     }
     auto tick(TimePoint /*now*/) -> void override { }
+    auto closeIdle() -> void override { }
     auto setServer(const Address& server) -> void override
     {
         server_ = server;
--- a/src/libsidecar/kind_watch.cpp
+++ b/src/libsidecar/kind_watch.cpp
@@ -12,6 +12,11 @@
 
 /// The longest wait that the store's interface allows.
 constexpr Duration watchWait = seconds(30);
+/// After a failed call the store has to answer at once, which shows that it is there again.
+constexpr Duration watchWaitAfterFailure = milliseconds(1);
+/// Shortest interval between checks of a waiting watch. With the time that a check may take it stays below
+/// the time in which nodes have to follow the store again after an outage.
+constexpr Duration shortestCheckInterval = seconds(2);
 /// Pauses after failed calls: from the first to the longest, doubling. The longest keeps the time to
 /// recovery after an outage of the store under two seconds.
 constexpr Duration firstPause = milliseconds(200);
@@ -49,6 +54,7 @@
 auto KindWatch::setHeld(bool held) -> void
 {
     held_ = held;
+    nextCheck_ = {}; // What was lost is most likely known as soon as the store is there again.
     proceed();
 }
 
@@ -67,6 +73,7 @@
 {
     stopped_ = true;
     timer_.cancel();
+    cancelWatch();
 }
 
 auto KindWatch::setReachable(bool reachable, StoreError error) -> void
@@ -127,36 +134,91 @@
 auto KindWatch::watch() -> void
 {
     busy_ = true;
-    store_.watch(kind_, revision_, watchWait,
+    nextCheck_ = Clock::now() + std::max(batch_, shortestCheckInterval);
+    watchId_ = store_.watch(kind_, revision_, failures_ == 0 ? watchWait : watchWaitAfterFailure,
         [self = shared_from_this()](std::variant<StoredChanges, StoreError> result) {
+            self->watchId_ = 0;
             self->busy_ = false;
-            if (self->stopped_) {
-                return;
+            if (!self->stopped_) {
+                self->onWatchResult(result);
             }
-            if (const auto* error = std::get_if<StoreError>(&result)) {
-                if (*error == StoreError::HistoryGone) {
-                    self->listed_ = false;
-                } else {
-                    self->setReachable(false, *error);
-                }
-                self->pauseAfterFailure();
-                return;
-            }
-            self->setReachable(true, {});
-            self->failures_ = 0;
-            const auto& changes = std::get<StoredChanges>(result);
-            self->revision_ = std::max(self->revision_, changes.revision_);
-            for (const auto& change : changes.changes_) {
-                self->events_.onChange_(change);
-            }
-            if (changes.changes_.empty()) {
-                self->proceed();
-            } else {
-                self->pause(self->batch_);
+        });
+}
+
+auto KindWatch::onWatchResult(const std::variant<StoredChanges, StoreError>& result) -> void
+{
+    if (const auto* error = std::get_if<StoreError>(&result)) {
+        if (*error == StoreError::HistoryGone) {
+            listed_ = false;
+        } else {
+            setReachable(false, *error);
+        }
+        pauseAfterFailure();
+        return;
+    }
+    setReachable(true, {});
+    failures_ = 0;
+    const auto& changes = std::get<StoredChanges>(result);
+    revision_ = std::max(revision_, changes.revision_);
+    for (const auto& change : changes.changes_) {
+        events_.onChange_(change);
+    }
+    if (changes.changes_.empty()) {
+        proceed();
+    } else {
+        pause(batch_);
+    }
+}
+
+auto KindWatch::tick(TimePoint now) -> void
+{
+    if (watchId_ != 0 && watching_ && !held_ && !checking_ && now >= nextCheck_) {
+        nextCheck_ = now + std::max(batch_, shortestCheckInterval);
+        check();
+    }
+}
+
+auto KindWatch::check() -> void
+{
+    checking_ = true;
+    store_.changesSoFar(kind_, revision_,
+        [self = shared_from_this(), checked = watchId_](
+            const std::variant<StoredChanges, StoreError>& result) {
+            self->checking_ = false;
+            if (!self->stopped_ && self->watchId_ == checked) {
+                self->onCheckResult(result);
             }
         });
 }
 
+auto KindWatch::onCheckResult(const std::variant<StoredChanges, StoreError>& result) -> void
+{
+    const auto* error = std::get_if<StoreError>(&result);
+    const bool refused
+        = error != nullptr && *error != StoreError::NoAnswer && *error != StoreError::HistoryGone;
+    const bool upToDate = error == nullptr && std::get<StoredChanges>(result).changes_.empty();
+    if (refused || upToDate) {
+        return; // A store that turns a call away says nothing of the watch.
+    }
+    logEvent(LogLevel::Warning, "watch_replaced",
+        { { "kind", kind_ }, { "revision", revision_ },
+            { "reason", error == nullptr ? "answer-lost" : storeErrorName(*error) } });
+    cancelWatch();
+    busy_ = false;
+    if (error != nullptr && *error == StoreError::HistoryGone) {
+        watch(); // A stale answer; the store itself tells whether the history is gone.
+    } else {
+        onWatchResult(result);
+    }
+}
+
+auto KindWatch::cancelWatch() -> void
+{
+    if (const auto id = std::exchange(watchId_, 0)) {
+        store_.cancelWatch(id);
+    }
+}
+
 auto KindWatch::pauseAfterFailure() -> void
 {
     const auto longest = std::min(firstPause * (1 << std::min(failures_, mostDoublings)), longestPause);
--- a/src/libsidecar/kind_watch.h
+++ b/src/libsidecar/kind_watch.h
@@ -26,11 +26,14 @@
     std::function<void(bool reachable)> onReachable_;
 };
 
-/// Lists, then watches as long as it is told to, and starts over when the history is gone. Calls that fail
-/// are repeated at a bounded rate, since each is paid for. All members run in the context's single thread.
+/// Lists, then watches as long as it is told to, and starts over when the history is gone. The answer to a
+/// watch may be lost, on a connection that stays open and silent: while a watch waits, the store is asked at
+/// intervals what has changed, and the watch is replaced if it should have been answered. Calls that fail are
+/// repeated at a bounded rate, since each is paid for. All members run in the context's single thread.
 class KindWatch : public std::enable_shared_from_this<KindWatch> {
 public:
-    /// After changes it waits for `batch` before it watches again: each watch is paid for.
+    /// After changes it waits for `batch` before it watches again: each watch is paid for. A waiting watch is
+    /// checked no more often than that.
     KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, Duration batch,
         std::uint64_t seed, KindWatchEvents events);
 
@@ -44,6 +47,8 @@
     /// The objects are known from elsewhere. They are only listed before the next watch.
     auto skipList() -> void;
     auto stop() -> void;
+    /// Checks the waiting watch when that is due. Call it about every 100 ms.
+    auto tick(TimePoint now) -> void;
 
     /// Returns whether the last call has been answered.
     auto isReachable() const -> bool
@@ -55,6 +60,10 @@
     auto proceed() -> void;
     auto list() -> void;
     auto watch() -> void;
+    auto onWatchResult(const std::variant<StoredChanges, StoreError>& result) -> void;
+    auto check() -> void;
+    auto onCheckResult(const std::variant<StoredChanges, StoreError>& result) -> void;
+    auto cancelWatch() -> void;
     auto pauseAfterFailure() -> void;
     auto pause(Duration time) -> void;
     auto setReachable(bool reachable, StoreError error) -> void;
@@ -66,6 +75,8 @@
     asio::steady_timer timer_;
     std::mt19937_64 random_;
     std::uint64_t revision_ = 0;
+    ObjectStore::WatchId watchId_ = 0; ///< Of the waiting watch; 0 if there is none.
+    TimePoint nextCheck_;
     int failures_ = 0; ///< In a row.
     Freshness freshness_ = Freshness::Current; ///< Of the next list.
     bool held_ = false;
@@ -73,6 +84,7 @@
     bool listWanted_ = false;
     bool watching_ = false;
     bool busy_ = false; ///< A call or a pause is under way.
+    bool checking_ = false;
     bool reachable_ = true;
     bool stopped_ = false;
 };
--- a/src/libsidecar/node_gauges.cpp
+++ b/src/libsidecar/node_gauges.cpp
@@ -43,6 +43,7 @@
     const GaugeText calls { "wagtailhead_store_calls", "Calls to the store since the start." };
     set(calls, static_cast<double>(store.reads_), { { "kind", "read" } });
     set(calls, static_cast<double>(store.watches_), { { "kind", "watch" } });
+    set(calls, static_cast<double>(store.checks_), { { "kind", "check" } });
     set(calls, static_cast<double>(store.writes_), { { "kind", "write" } });
     set({ "wagtailhead_store_failures", "Calls to the store that failed since the start." },
         static_cast<double>(store.failures_));
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -512,6 +512,8 @@
 auto SiteState::tick(TimePoint now) -> void
 {
     requestConfiguration(now);
+    configurationWatch_->tick(now);
+    nodeWatch_->tick(now);
     if (!hasNodeList_) {
         return;
     }
--- a/src/libsidecar/site_knowledge_test.cpp
+++ b/src/libsidecar/site_knowledge_test.cpp
@@ -22,9 +22,15 @@
         lists_[kind] = std::move(callback);
     }
     auto watch(const std::string& kind, std::uint64_t /*revision*/, Duration /*wait*/,
-        Callback<StoredChanges> callback) -> void override
+        Callback<StoredChanges> callback) -> WatchId override
     {
         watches_[kind] = std::move(callback);
+        return 1;
+    }
+    auto cancelWatch(WatchId /*id*/) -> void override { }
+    auto changesSoFar(const std::string& /*kind*/, std::uint64_t /*revision*/,
+        Callback<StoredChanges> /*callback*/) -> void override
+    {
     }
     auto create(const std::string& /*kind*/, const std::string& /*name*/, const std::string& value,
         Callback<StoredObject> callback) -> void override
--- a/src/libsidecar/store_sync_test.cpp
+++ b/src/libsidecar/store_sync_test.cpp
@@ -35,10 +35,20 @@
         answer<StoredList>(callback, found);
     }
     auto watch(const std::string& /*kind*/, std::uint64_t revision, Duration /*wait*/,
-        Callback<StoredChanges> callback) -> void override
+        Callback<StoredChanges> callback) -> WatchId override
     {
         watchedFrom_ = revision;
         watch_ = std::move(callback);
+        return ++watches_;
+    }
+    auto cancelWatch(WatchId /*id*/) -> void override
+    {
+        watch_ = nullptr;
+    }
+    auto changesSoFar(const std::string& /*kind*/, std::uint64_t /*revision*/,
+        Callback<StoredChanges> callback) -> void override
+    {
+        check_ = std::move(callback);
     }
     auto create(const std::string& /*kind*/, const std::string& name, const std::string& value,
         Callback<StoredObject> callback) -> void override
@@ -93,6 +103,8 @@
     int writes_ = 0;
     std::uint64_t watchedFrom_ = 0;
     Callback<StoredChanges> watch_;
+    Callback<StoredChanges> check_;
+    WatchId watches_ = 0;
 
 private:
     template <typename T> auto answer(const Callback<T>& callback, std::variant<T, StoreError> result) -> void
@@ -327,6 +339,76 @@
     cr_assert(store.writes_ == 1, "the entry was written again");
 }
 
+// The answer to a watch was lost during a short silence of the store, and the node kept its configuration for
+// the 31 s of the watch (review case 1).
+Test(kind_watch, a_watch_whose_answer_was_lost_is_replaced)
+{
+    struct Case {
+        const char* name_;
+        std::variant<StoredChanges, StoreError> check_;
+        bool replaced_;
+        std::vector<bool> reachable_;
+        int changes_;
+    };
+    const Case cases[] = {
+        { "nothing has changed", StoredChanges { {}, 10 }, false, {}, 0 },
+        { "the check is turned away", StoreError::Refused, false, {}, 0 },
+        { "a change was not reported", StoredChanges { { { { "main", 12, "{}" }, false } }, 12 }, true, {},
+            1 },
+        { "the history is gone", StoreError::HistoryGone, true, {}, 0 },
+        { "the store is silent", StoreError::NoAnswer, true, { false, true }, 0 },
+    };
+    for (const auto& testCase : cases) {
+        asio::io_context context;
+        MemoryStore store(context);
+        std::vector<bool> reachable;
+        int changes = 0;
+        auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
+            KindWatchEvents { [](const KindList&) {},
+                [&](const StoredChange&) {
+                    ++changes;
+                },
+                [&](bool now) {
+                    reachable.push_back(now);
+                } });
+        watch->start({}, Freshness::Current);
+        watch->setWatching(true);
+        run(context, milliseconds(20));
+        watch->tick(Clock::now() + milliseconds(1900));
+        cr_expect(!store.check_, "%s: checked too early", testCase.name_);
+        watch->tick(Clock::now() + seconds(2));
+        cr_assert(store.check_ != nullptr, "%s: not checked", testCase.name_);
+        std::exchange(store.check_, nullptr)(testCase.check_);
+        run(context, milliseconds(250));
+        cr_expect(store.watches_ == (testCase.replaced_ ? 2 : 1), "%s", testCase.name_);
+        if (testCase.replaced_) {
+            store.endWatch(StoredChanges { {}, 12 });
+            run(context, milliseconds(20));
+        }
+        cr_expect(store.watch_ != nullptr, "%s: no watch", testCase.name_);
+        cr_expect(reachable == testCase.reachable_, "%s", testCase.name_);
+        cr_expect(changes == testCase.changes_, "%s", testCase.name_);
+        watch->stop();
+    }
+}
+
+Test(kind_watch, a_check_that_comes_after_the_answer_changes_nothing)
+{
+    asio::io_context context;
+    MemoryStore store(context);
+    auto watch = std::make_shared<KindWatch>(context, store, "config", milliseconds(20), 1,
+        KindWatchEvents { [](const KindList&) {}, [](const StoredChange&) {}, nullptr });
+    watch->start({}, Freshness::Current);
+    watch->setWatching(true);
+    run(context, milliseconds(20));
+    watch->tick(Clock::now() + seconds(2));
+    store.endWatch(StoredChanges { {}, 12 });
+    std::exchange(store.check_, nullptr)(StoreError::NoAnswer);
+    run(context, milliseconds(250));
+    cr_assert(watch->isReachable() && store.watches_ == 2 && store.watchedFrom_ == 12);
+    watch->stop();
+}
+
 Test(entry_publisher, the_last_of_several_changes_is_stored)
 {
     asio::io_context context;
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -68,6 +68,11 @@
         self.extra = [Route(f"idle-{i}", "idle.example", f"/idle-{i}/", SAFE, "other", 1.0, 3, 1.0)
                       for i in range(random.randint(0, 40))]
 
+    def change_last(self):
+        """Moves the route that moves to where it has never been, so that following any older version shows."""
+        next(route for route in self.routes if route.name == "moved").service = "deep"
+        self.version += 1
+
     def write(self, store, record):
         """Writes the configuration as the operator does; the store confirms it at once."""
         store.put("config", "main", copy.deepcopy(self.configuration()))
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -19,7 +19,8 @@
         return 1
     with open(os.path.join(FOLDER, "seeds.txt"), encoding="utf-8") as lines:
         seeds = [line.split()[0] for line in lines if line.strip() and not line.startswith("#")]
-    return max(soak.main(SHORT + ["--seed", seed]) for seed in ["1"] + seeds)
+    runs = [["--seed", seed] for seed in ["1"] + seeds] + [["--faults", "store_lapse", "--fault-pause", "7"]]
+    return max(soak.main(SHORT + run) for run in runs)
 
 
 if __name__ == "__main__":
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -32,7 +32,7 @@
             (1, "store_reset", store("down", "reset")), (1, "store_slow", store("delay_s", 0.8)),
             (1, "store_lost", store("lose_writes", 0.5)), (1, "store_late", self.store_late),
             (1, "store_429", store("refused_share", 0.7)), (1, "store_forgets", self.store_forgets),
-            (2, "store_cut", node(self.store_cut)), (3, "config", self.config), (1, "config_storm", self.config_storm),
+            (1, "store_lapse", self.store_lapse), (2, "store_cut", node(self.store_cut)), (3, "config", self.config), (1, "config_storm", self.config_storm),
             (1, "callers_leave", self.callers_leave),
         ]
 
@@ -54,6 +54,13 @@
             if isinstance(result, Exception):
                 raise result
 
+    def choose(self, names):
+        """Leaves only the faults of these names. Raises ValueError for one that is not known."""
+        known = {name for _, name, _ in self.kinds}
+        if not names or not known.issuperset(names):
+            raise ValueError(f"faults are {', '.join(sorted(known))}")
+        self.kinds = [kind for kind in self.kinds if kind[1] in names]
+
     def on_node(self, play):
         """Returns a fault of one machine that is not busy with another one of its process."""
         async def chosen(luck):
@@ -200,6 +207,16 @@
         await self.for_some_time(luck, self.world.store, "lose_writes", 0.5, "store", "")
         self.world.store.late_s = 0.0
 
+    async def store_lapse(self, luck):
+        """The store falls silent while configurations change, and the answers that were due are lost."""
+        disturbance = self.world.record.begin("store")
+        self.world.store.down = "lapse"
+        for _ in range(3):
+            await self.config(luck)
+            await asyncio.sleep(luck.uniform(0.3, 1.5))
+        self.world.store.down = ""
+        disturbance.end = now()
+
     async def store_forgets(self, _luck):
         """Watches have to start over."""
         disturbance = self.world.record.begin("store")
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -26,6 +26,7 @@
     parser.add_argument("--nodes", type=int, default=8, help="machines, 4 to 120")
     parser.add_argument("--fault-pause", type=float, default=1.2, help="mean time between faults in s; 0 for none")
     parser.add_argument("--request-pause", type=float, default=0.25, help="mean time between a caller's requests in s")
+    parser.add_argument("--faults", default="", help="names of the faults to play, separated by commas; all if absent")
     parser.add_argument("--bin-dir", default=os.path.join(ROOT, "build", "bin"), help="folder of the programs")
     parser.add_argument("--keep", help="folder for the logs; a temporary one that is removed if absent")
     chosen = parser.parse_args(words)
@@ -37,7 +38,8 @@
 def replay_command(chosen, seed):
     """Returns the command that plays a run again."""
     return (f"scripts/soak --seed {seed} --minutes {chosen.minutes:g} --nodes {chosen.nodes} "
-            f"--fault-pause {chosen.fault_pause:g} --request-pause {chosen.request_pause:g}")
+            f"--fault-pause {chosen.fault_pause:g} --request-pause {chosen.request_pause:g}"
+            + (f" --faults {chosen.faults}" if chosen.faults else ""))
 
 
 def print_outcomes(world):
@@ -67,7 +69,7 @@
     try:
         await world.start()
         schedule, recovery_from = await world.play(chosen.minutes * 60, QUIET_S, chosen.fault_pause,
-                                                   chosen.request_pause)
+                                                   chosen.request_pause, [each for each in chosen.faults.split(",") if each])
     finally:
         await world.close()
     findings = Checker(world.record, world.site).check(recovery_from)
--- a/testsuite/soak/store_standin.py
+++ b/testsuite/soak/store_standin.py
@@ -21,7 +21,7 @@
         self.history = history
         self.changed = asyncio.Event()
         self.calls = {"read": 0, "watch": 0, "write": 0}
-        self.down = ""  # "", "busy", "reset" or "silent"
+        self.down = ""  # "", "busy", "reset", "silent" (calls are not answered) or "lapse" (nor are waiting watches)
         self.delay_s = 0.0
         self.lose_writes = 0.0  # Share of writes that are done and not answered.
         self.late_s = 0.0  # Lost writes are done so much later.
@@ -68,7 +68,7 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         is_watch = "watch" in query
         self.calls["watch" if is_watch else "read" if request.method == "GET" else "write"] += 1
-        if self.down == "silent":
+        if self.down in ("silent", "lapse"):
             await asyncio.sleep(3600)
         if self.down == "reset":
             return False
@@ -85,6 +85,8 @@
             return False
         status, body = await self.read_or_watch(parts.path, query) if not is_write else self.apply(
             request, parts.path, query)
+        if self.down == "lapse":
+            await asyncio.sleep(3600)  # The connection stays open and carries nothing further.
         writer.write(response_bytes(status, {"Content-Type": "application/json"}, json.dumps(body).encode()))
         return True
 
--- a/testsuite/soak/world.py
+++ b/testsuite/soak/world.py
@@ -91,19 +91,24 @@
                 self.record.exits.append((now(), machine.name, f"ended by itself with status {status}"))
                 machine.start()
 
-    async def play(self, length_s, quiet_s, fault_pause_s, request_pause_s):
+    async def play(self, length_s, quiet_s, fault_pause_s, request_pause_s, faults=()):
         """Plays faults for a while and then none. Returns the schedule and when the quiet end began to count."""
         watchers = [asyncio.ensure_future(self.watch_machine(machine)) for machine in self.machines]
         callers = [asyncio.ensure_future(caller.run(lambda: self.watching, request_pause_s))
                    for caller in self.callers]
         schedule = Schedule(self, self.seed)
+        if faults:
+            schedule.choose(faults)
         if fault_pause_s:
             await schedule.run(now() + length_s, fault_pause_s)
             await schedule.finish()
         else:
             await asyncio.sleep(length_s)
         recovery_from = now() + quiet_s / 2
-        await asyncio.sleep(quiet_s)
+        await asyncio.sleep(quiet_s / 2)
+        self.site.change_last()
+        self.site.write(self.store, self.record)
+        await asyncio.sleep(quiet_s / 2)
         self.watching = False
         await asyncio.gather(*callers, *watchers)
         return schedule, recovery_from
