fix(http1): connections of slow readers are not taken for silent paths

Cause: TCP_USER_TIMEOUT (2 s) on every socket. Linux also ends a connection whose peer keeps its receive window closed for that long, although the peer answers all probes.

Change: only connections whose peer reads at once (links between nodes, the store) have the option. For callers and backend servers a silent path is one on which bytes are in flight and nothing was acknowledged for 2 s (TCP_INFO); a closed window leaves nothing in flight.

--- a/src/libhttp1/http1_connection.cpp
+++ b/src/libhttp1/http1_connection.cpp
@@ -1,5 +1,6 @@
 #include "http1_connection.h"
 
+#include "socket_options.h"
 #include "wagtailhead/log.h"
 
 #include <asio/write.hpp>
@@ -219,7 +220,8 @@
 {
     const auto spent = now - phaseStart_;
     const bool overdue = (phase_ == Phase::Lingering && spent > lingerLimit)
-        || (phase_ == Phase::Writing && spent > writeLimit);
+        || (phase_ == Phase::Writing && spent > writeLimit)
+        || (phase_ == Phase::Writing && spent > silentPathLimit && isPathSilent(socket_));
     if (overdue) {
         close();
     } else if (phase_ == Phase::Reading && reader_.state() == ReadState::Empty) {
--- a/src/libhttp1/http1_listener.cpp
+++ b/src/libhttp1/http1_listener.cpp
@@ -105,7 +105,7 @@
 
 auto AsioListener::add(asio::ip::tcp::socket socket) -> void
 {
-    setPathOptions(socket);
+    setPathOptions(socket, PeerPace::Slow);
     asio::error_code ignored; // A socket that stays blocking would fail on its first read.
     socket.non_blocking(true, ignored);
     auto connection = std::make_shared<Connection>(std::move(socket), state_);
--- a/src/libhttp1/http1_network_test.cpp
+++ b/src/libhttp1/http1_network_test.cpp
@@ -3,11 +3,13 @@
 #include "http1_pool.h"
 #include "socket_options.h"
 
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 #include <criterion/criterion.h>
+#include <linux/filter.h>
 
 using namespace wagtailhead;
 using namespace wagtailhead::http1;
@@ -634,3 +636,117 @@
         return listener->unansweredCount() == 0;
     }));
 }
+
+namespace {
+
+auto runFor(asio::io_context& context, Duration time, const std::function<void()>& tick) -> void
+{
+    const auto end = Clock::now() + time;
+    while (Clock::now() < end) {
+        context.run_for(milliseconds(50));
+        context.restart();
+        tick();
+    }
+}
+
+/// Reads `size` bytes after a pause of three seconds, during which its receive window closes. Returns how
+/// many have arrived.
+auto readSlowly(asio::io_context& context, asio::ip::tcp::socket& socket, std::size_t size,
+    const std::function<void()>& tick) -> std::size_t
+{
+    runFor(context, seconds(3), tick);
+    std::string bytes(size, ' ');
+    std::optional<std::size_t> received;
+    asio::async_read(socket, asio::buffer(bytes), [&](const asio::error_code& /*error*/, std::size_t got) {
+        received = got;
+    });
+    const auto end = Clock::now() + patience;
+    while (!received && Clock::now() < end) {
+        context.run_for(milliseconds(5));
+        context.restart();
+    }
+    return received.value_or(0);
+}
+
+/// More than the buffers of both sockets hold.
+constexpr std::size_t slowBodyBytes = std::size_t { 8 } << 20;
+
+} // namespace
+
+// The kernel's limit for unacknowledged bytes also ended connections of callers that stopped reading for
+// three seconds, and the answers to their orders were lost (review case 2).
+Test(http1_listener, a_caller_that_reads_slowly_gets_the_whole_response)
+{
+    asio::io_context context;
+    const Address address { "127.0.0.1", freePort(context) };
+    auto listener = valueOf(Listener::open(
+        context, address, {}, [](const Request& /*request*/, const std::shared_ptr<Exchange>& exchange) {
+            Response response;
+            response.body_.assign(slowBodyBytes, 'b');
+            exchange->respond(std::move(response));
+        }));
+    asio::ip::tcp::socket caller(context);
+    caller.connect(endpointOf(address));
+    asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    const auto received = readSlowly(context, caller, slowBodyBytes, [&] {
+        listener->tick(Clock::now());
+    });
+    cr_assert(received == slowBodyBytes, "%zu bytes", received);
+}
+
+// The same limit ended connections to backend servers that read a request slowly; a request that must not run
+// twice then failed.
+Test(http1_pool, a_server_that_reads_slowly_gets_the_whole_request)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto pool = Pool::create(context,
+        { .server_ = { "127.0.0.1", acceptor.local_endpoint().port() }, .serverPace_ = PeerPace::Slow });
+    std::optional<CallResult> result;
+    auto call = get([&](CallResult got) {
+        result = std::move(got);
+    });
+    call.request_.body_.assign(slowBodyBytes, 'b');
+    pool->send(std::move(call));
+    asio::ip::tcp::socket server(context);
+    acceptor.accept(server);
+    const auto received = readSlowly(context, server, slowBodyBytes, [&] {
+        pool->tick(Clock::now());
+    });
+    cr_assert(received == slowBodyBytes && !result, "%zu bytes", received);
+}
+
+// Without the kernel's limit a path to a backend server that has gone silent must still show before the
+// call's time is over.
+Test(http1_pool, a_silent_path_to_a_slow_server_is_noticed)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto pool = Pool::create(context,
+        { .server_ = { "127.0.0.1", acceptor.local_endpoint().port() }, .serverPace_ = PeerPace::Slow });
+    const auto tick = [&] {
+        pool->tick(Clock::now());
+    };
+    std::optional<CallResult> result;
+    pool->send(get([&](CallResult got) {
+        result = std::move(got);
+    }));
+    asio::ip::tcp::socket server(context);
+    acceptor.accept(server);
+    runFor(context, milliseconds(50), tick);
+    asio::write(server, asio::buffer(std::string(okAnswer)));
+    runFor(context, milliseconds(50), tick);
+    cr_assert(result && std::holds_alternative<Response>(*result));
+    result.reset();
+    // The peer's kernel drops all that arrives on the connection.
+    sock_filter dropAll[] = { BPF_STMT(BPF_RET | BPF_K, 0) };
+    const sock_fprog program { 1, dropAll };
+    cr_assert(
+        setsockopt(server.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) == 0);
+    pool->send(get([&](CallResult got) {
+        result = std::move(got);
+    }));
+    runFor(context, seconds(3), tick);
+    cr_assert(pool->stats().reused_ == 1);
+    cr_assert(result && std::get<Failure>(*result) == Failure::Lost);
+}
--- a/src/libhttp1/http1_pool.cpp
+++ b/src/libhttp1/http1_pool.cpp
@@ -88,6 +88,7 @@
     bool copyDropped_ = false; ///< The server is out of step; the connection is not used further.
     TimePoint callDeadline_;
     TimePoint connectDeadline_;
+    TimePoint sentAt_; ///< Start of the request's transmission.
     TimePoint idleSince_;
     Duration idleLimit_ {};
     bool toHead_ = false;
@@ -177,7 +178,7 @@
         return;
     }
     connected_ = true;
-    setPathOptions(socket_);
+    setPathOptions(socket_, pool_->options().serverPace_);
     asio::error_code ignored; // A socket that stays blocking would fail on its first read.
     socket_.non_blocking(true, ignored);
     if (call_) {
@@ -197,6 +198,7 @@
 
 auto ClientConnection::sendRequest() -> void
 {
+    sentAt_ = Clock::now();
     toHead_ = call_->request_.method_ == "HEAD";
     reader_.reset(toHead_);
     reader_.setLimits({ pool_->options().maxHeaderBytes_, pool_->options().maxResponseBytes_ });
@@ -347,6 +349,9 @@
         fail(Failure::NotSent);
     } else if (call_ && now > callDeadline_) {
         fail(connected_ ? Failure::Timeout : Failure::NotSent);
+    } else if (call_ && connected_ && pool_->options().serverPace_ == PeerPace::Slow
+        && now - sentAt_ > silentPathLimit && isPathSilent(socket_)) {
+        fail(Failure::Lost);
     }
 }
 
--- a/src/libhttp1/http1_pool.h
+++ b/src/libhttp1/http1_pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http1_reader.h"
+#include "socket_options.h"
 #include "wagtailhead/clock.h"
 #include "wagtailhead/settings.h"
 
@@ -27,6 +28,7 @@
 
 struct PoolOptions {
     Address server_;
+    PeerPace serverPace_ = PeerPace::Prompt;
     std::size_t maxConnections_ = 1000;
     Duration connectTimeout_ = seconds(1);
     /// How long an idle connection is used again if the server names no limit.
--- a/src/libhttp1/socket_options.h
+++ b/src/libhttp1/socket_options.h
@@ -5,15 +5,30 @@
 #include "wagtailhead/settings.h"
 
 #include <asio/ip/tcp.hpp>
+#include <cstdint>
 
 namespace wagtailhead::http1 {
 
-/// How long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT) and how long an idle connection may stay
-/// without an answer to keep-alive probes. Half of the shortest contact window seen in practice.
+/// How the peer of a connection reads.
+enum class PeerPace : std::uint8_t {
+    Prompt, ///< At once, as nodes and the store do.
+    Slow, ///< As it likes, with pauses, as callers and backend servers may.
+};
+
+/// How long sent bytes may stay unacknowledged and how long an idle connection may stay without an answer to
+/// keep-alive probes. Half of the shortest contact window seen in practice.
 constexpr Duration silentPathLimit = seconds(2);
 
-/// Sends small messages at once and has the kernel notice a path that has gone silent.
-auto setPathOptions(asio::ip::tcp::socket& socket) -> void;
+/// Sends small messages at once and has the kernel notice a path that has gone silent. A slow peer may keep
+/// its receive window closed, which the kernel's limit for unacknowledged bytes (TCP_USER_TIMEOUT) does not
+/// tell from a silent path: its connections have keep-alive probes only, and isPathSilent() while bytes are
+/// in flight. Precondition: the socket is open.
+auto setPathOptions(asio::ip::tcp::socket& socket, PeerPace pace) -> void;
+
+/// Returns whether bytes are in flight and the peer has acknowledged nothing for silentPathLimit. A peer that
+/// does not read still acknowledges what it has room for. Precondition: bytes were sent no later than
+/// silentPathLimit ago. Safe to call from the thread that uses the socket only.
+auto isPathSilent(asio::ip::tcp::socket& socket) -> bool;
 
 /// Precondition: the address has been checked by parseAddress().
 auto endpointOf(const Address& address) -> asio::ip::tcp::endpoint;
--- a/src/libsidecar/frame_stream.cpp
+++ b/src/libsidecar/frame_stream.cpp
@@ -30,7 +30,7 @@
 {
     events_ = std::move(events);
     lastReceived_ = Clock::now();
-    http1::setPathOptions(socket_);
+    http1::setPathOptions(socket_, http1::PeerPace::Prompt);
     asio::error_code ignored; // A socket that stays blocking would fail on its first read.
     socket_.non_blocking(true, ignored);
     read();
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -50,7 +50,9 @@
 
 auto backendPoolOptions(const SidecarSettings& settings, const HeaderNames& headers) -> http1::PoolOptions
 {
-    http1::PoolOptions options { .server_ = settings.backend_, .echoHeader_ = headers.attemptId_ };
+    http1::PoolOptions options {
+        .server_ = settings.backend_, .serverPace_ = http1::PeerPace::Slow, .echoHeader_ = headers.attemptId_
+    };
     if (settings.memoryBytes_ > 0) {
         options.maxBufferedBytes_ = settings.memoryBytes_ / bufferedMemoryDivisor;
         options.maxResponseBytes_ = std::min(options.maxResponseBytes_, options.maxBufferedBytes_);
