fix(sidecar): peers keep a leave that a restarted node has forgotten

Cause: peers order the entries of a node by its generation alone. The restarted process read its entry from the store, which had missed the leave, published it under a greater generation, and so erased what the peers knew.

Change: Directory::apply keeps a leave for one start of a backend server (same id and time of start), whichever entry comes first; a retired entry keeps the start that has left.

--- a/src/include/wagtailhead/directory.h
+++ b/src/include/wagtailhead/directory.h
@@ -95,7 +95,9 @@
 public:
     explicit Directory(DirectoryOptions options);
 
-    /// Takes an entry unless a newer generation is known. Returns whether anything changed.
+    /// Takes an entry unless a newer generation is known. Returns whether anything changed. A leave is final
+    /// for one start of a backend server, whatever the order of the entries: a restarted node may not know of
+    /// it.
     auto apply(const NodeEntry& entry) -> bool;
     /// A node is gone for good. Its entry is kept as gone for a while, under a newer generation, so that
     /// nodes that have not heard of it do not bring it back; a node that lives after all outdoes it. Returns
--- a/src/libsidecar/directory.cpp
+++ b/src/libsidecar/directory.cpp
@@ -49,6 +49,14 @@
 /// The capacity that is assumed until a report names it.
 constexpr int assumedCapacity = 50;
 
+/// Returns whether `entry` says that the backend server leaves of which `other` speaks.
+auto saysThatItLeaves(const NodeEntry& entry, const NodeEntry& other) -> bool
+{
+    const bool sameStart = !entry.backendId_.empty() && entry.backendId_ == other.backendId_
+        && entry.backendBornMs_ != 0 && entry.backendBornMs_ == other.backendBornMs_;
+    return sameStart && isLeaving(entry.phase_) && entry.phase_ > other.phase_;
+}
+
 /// Returns a level of this age as it still counts.
 auto faded(double level, Duration age) -> double
 {
@@ -87,7 +95,9 @@
             || known.entry_.backendBornMs_ != entry.backendBornMs_;
         known.retiredAt_.reset();
         const bool moved = known.entry_.service_ != entry.service_ || known.entry_.node_.empty();
+        const auto phase = saysThatItLeaves(known.entry_, entry) ? known.entry_.phase_ : entry.phase_;
         known.entry_ = entry;
+        known.entry_.phase_ = phase;
         known.changedAt_ = Clock::now();
         if (moved) {
             indexServices();
@@ -101,6 +111,11 @@
         }
         return true;
     }
+    if (saysThatItLeaves(entry, known.entry_)) {
+        known.entry_.phase_ = entry.phase_;
+        known.changedAt_ = Clock::now();
+        return true;
+    }
     return false;
 }
 
@@ -111,11 +126,13 @@
         return std::nullopt;
     }
     auto& known = found->second;
+    if (!isLeaving(known.entry_.phase_)) {
+        // The backend server itself has not said that it leaves; its node may run after all.
+        known.entry_.backendId_.clear();
+        known.entry_.backendBornMs_ = 0;
+    }
     known.entry_.phase_ = BackendPhase::Gone;
     known.entry_.accepting_ = false;
-    // The backend server itself has not said that it leaves; its node may run after all.
-    known.entry_.backendId_.clear();
-    known.entry_.backendBornMs_ = 0;
     ++known.entry_.generation_;
     known.retiredAt_ = now;
     return known.entry_;
--- a/src/libsidecar/directory_test.cpp
+++ b/src/libsidecar/directory_test.cpp
@@ -88,6 +88,45 @@
     cr_assert(directory.find("near")->phase_ == BackendPhase::Gone);
 }
 
+// A restarted node read its entry from a store that had missed the leave of its backend server, and all nodes
+// took the new entry for the leave that they knew of (review case 3).
+Test(directory, a_leave_is_final_for_one_start_of_the_backend_server)
+{
+    struct Case {
+        const char* name_;
+        std::uint64_t generation_; ///< Of the entry without the leave; the one with it has 5.
+        const char* backend_;
+        std::uint64_t bornMs_;
+        bool usable_;
+    };
+    const Case cases[] = {
+        { "a restarted node has forgotten it", 9, "i-1", 100, false },
+        { "an earlier entry", 4, "i-1", 100, false },
+        { "the next start under the same id", 9, "i-1", 200, true },
+        { "another backend server", 9, "i-2", 200, true },
+    };
+    for (const auto& testCase : cases) {
+        auto left = node("near", "a", "r");
+        left.backendId_ = "i-1";
+        left.backendBornMs_ = 100;
+        left.phase_ = BackendPhase::Draining;
+        left.generation_ = 5;
+        auto ready = node("near", "a", "r");
+        ready.backendId_ = testCase.backend_;
+        ready.backendBornMs_ = testCase.bornMs_;
+        ready.generation_ = testCase.generation_;
+        for (const bool leaveFirst : { true, false }) {
+            Directory directory({ "self", "a", "r", 1 });
+            directory.apply(leaveFirst ? left : ready);
+            directory.apply(leaveFirst ? ready : left);
+            cr_expect(directory.pick("stock", goal, {}, start).has_value() == testCase.usable_, "%s, %s",
+                testCase.name_, leaveFirst ? "leave first" : "leave last");
+            cr_expect(directory.find("near")->generation_ == std::max<std::uint64_t>(testCase.generation_, 5),
+                "%s", testCase.name_);
+        }
+    }
+}
+
 Test(directory, an_unavailable_node_is_avoided_for_a_growing_time)
 {
     auto directory = threeNodes();
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -210,13 +210,24 @@
     if (!parts_.directory_.apply(entry)) {
         return;
     }
+    const auto& known = *parts_.directory_.find(entry.node_);
     logEvent(LogLevel::Info, "node_changed",
-        { { "peer", entry.node_ }, { "service", entry.service_ }, { "phase", backendPhaseName(entry.phase_) },
-            { "accepting", static_cast<int>(entry.accepting_) }, { "backend", entry.backendId_ },
-            { "generation", entry.generation_ } });
+        { { "peer", known.node_ }, { "service", known.service_ }, { "phase", backendPhaseName(known.phase_) },
+            { "accepting", static_cast<int>(known.accepting_) }, { "backend", known.backendId_ },
+            { "generation", known.generation_ } });
     if (watching_) {
-        sendToZone(EntryFrame { entry }, entry.node_);
+        sendToZone(EntryFrame { known }, known.node_);
     }
+    if (known.phase_ != entry.phase_ && (watching_ || known.zone_ == options_.self_.zone_)) {
+        returnLeave(known);
+    }
+}
+
+auto SiteState::returnLeave(const NodeEntry& entry) -> void
+{
+    logEvent(LogLevel::Warning, "leave_returned",
+        { { "peer", entry.node_ }, { "backend", entry.backendId_ }, { "generation", entry.generation_ } });
+    parts_.links_.sendFrame(entry, EntryFrame { entry });
 }
 
 auto SiteState::onLocalEntry(const NodeEntry& entry) -> void
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -98,6 +98,9 @@
     auto applyObject(const StoredObject& object) -> void;
     auto proximityOf(const NodeEntry& entry) const -> Proximity;
     auto requestConfiguration(TimePoint now) -> void;
+    /// Sends a node its own entry with the leave of its backend server, which it has forgotten over a
+    /// restart.
+    auto returnLeave(const NodeEntry& entry) -> void;
     auto onLocalEntry(const NodeEntry& entry) -> void;
     auto localEntry() const -> NodeEntry;
     auto announce(const NodeEntry& entry) -> void;
--- a/src/libsidecar/site_knowledge_test.cpp
+++ b/src/libsidecar/site_knowledge_test.cpp
@@ -417,6 +417,33 @@
     }
 }
 
+// The node of review case 3 published its entry before another node had told it of the leave. Nodes that know
+// of the leave keep it and send it back.
+Test(site_knowledge, a_node_that_has_forgotten_a_leave_gets_it_back)
+{
+    NodeFixture fixture;
+    fixture.store_.answerList(nodeKind, {});
+    std::vector<NodeEntry> received;
+    auto parts = fixture.serverParts([] {});
+    parts.onEntry_ = [&](const NodeEntry& entry) {
+        received.push_back(entry);
+    };
+    auto server = LinkServer::open(fixture.context_, { "127.0.0.1", fixture.port_ }, std::move(parts));
+    cr_assert(isOk(server));
+    auto left = entryOf("n1", 7);
+    left.phase_ = BackendPhase::Gone;
+    fixture.siteState_->onEntry(left);
+    fixture.runFor(milliseconds(50));
+    cr_assert(received.empty());
+    auto restarted = entryOf("n1", 1000);
+    restarted.phase_ = BackendPhase::Unknown;
+    fixture.siteState_->onEntry(restarted);
+    fixture.runFor(milliseconds(50));
+    cr_assert(fixture.directory_.find("n1")->phase_ == BackendPhase::Gone);
+    cr_assert(received.size() == 1 && received[0].phase_ == BackendPhase::Gone);
+    cr_assert(received[0].generation_ == 1000 && received[0].backendId_ == "i-n1");
+}
+
 // Another node that takes this one for removed must not end the use of its backend server.
 Test(site_knowledge, a_node_that_others_took_for_removed_goes_on)
 {
