fix(sidecar): a start of a backend server is not over because its clock is behind

After the time of day had jumped back between two starts of a backend server under one id, its leave was confirmed and ignored; 66 requests reached it later than the bound.

Cause: BackendReports::take ordered starts by their time of day alone. All reports of the running start were stale; stale leaves were confirmed. Two related orders had the same end: a later start whose first report is its withdrawal, and a leave that only peers know of, of a start later than the one in the store.

Change: BackendReports remembers starts other than the current one, and what they have said. Leaves that concern a start that may get requests take effect; a start that goes on reporting while the current one is quiet replaces it; a replaced start or one that has left is not used again by a late report. The soak plays starts with clocks set back and leaves that the store misses, with kills and late reports.

--- a/src/include/wagtailhead/backend_reports.h
+++ b/src/include/wagtailhead/backend_reports.h
@@ -3,8 +3,8 @@
 
 #include "wagtailhead/directory.h"
 
-#include <optional>
 #include <string>
+#include <vector>
 
 namespace wagtailhead {
 
@@ -40,13 +40,17 @@
     BackendPhase phase_ = BackendPhase::Unknown;
 };
 
-/// Applies reports, which may arrive in any order. Within one run of the backend server the phase only moves
-/// forward, so a late report cannot undo a drain. Not thread safe.
+/// Applies reports, which may arrive in any order. Within one start of the backend server the phase only
+/// moves forward, so a late report cannot undo a drain. A later start replaces an earlier one. As the time of
+/// day may be set back between two starts, their times alone do not tell which one is over: a start that goes
+/// on reporting while the current one is quiet replaces it too. Not thread safe.
 class BackendReports {
 public:
     explicit BackendReports(std::string service);
 
-    auto take(const BackendReport& report) -> ReportVerdict;
+    /// Applies a report that arrived at `now`. A leave that is not the current start's is Stale only if that
+    /// start gets no requests, so that it may be confirmed in any case.
+    auto take(const BackendReport& report, TimePoint now) -> ReportVerdict;
 
     /// Restores the status from an entry that an earlier process of this node published. State from reports
     /// to this process takes precedence, except that a backend server that was leaving stays so until its
@@ -59,8 +63,29 @@
     }
 
 private:
+    /// A start of the backend server that is not the current one.
+    struct OtherStart {
+        std::string id_;
+        std::uint64_t bornMs_ = 0;
+        std::uint64_t sequence_ = 0;
+        bool left_ = false;
+        bool replaced_ = false; ///< It was the current one before, and has not reported since.
+        int reports_ = 0; ///< In order, without one of the current start between them.
+        TimePoint firstReport_ {}; ///< Of these.
+    };
+
+    auto takeCurrent(const BackendReport& report) -> ReportVerdict;
+    auto takeLeave(const BackendReport& report) -> ReportVerdict;
+    auto takeReady(const BackendReport& report, TimePoint now) -> ReportVerdict;
+    auto isCurrent(const BackendReport& report) const -> bool;
+    auto isLater(const BackendReport& report) const -> bool;
+    auto findOther(const std::string& id, std::uint64_t bornMs) -> OtherStart*;
+    auto otherStart(const std::string& id, std::uint64_t bornMs) -> OtherStart&;
+    auto replaceCurrent(const BackendReport& report) -> void;
+
     std::string service_;
     BackendStatus status_;
+    std::vector<OtherStart> others_; ///< The oldest first.
 };
 
 } // namespace wagtailhead
--- a/src/libsidecar/report_server.cpp
+++ b/src/libsidecar/report_server.cpp
@@ -78,7 +78,7 @@
 auto AsioReportServer::onReport(const BackendReport& report, const std::shared_ptr<http1::Exchange>& exchange)
     -> void
 {
-    const auto verdict = parts_.reports_.take(report);
+    const auto verdict = parts_.reports_.take(report, Clock::now());
     const bool leaving = report.phase_ != BackendPhase::Ready;
     if (verdict != ReportVerdict::Confirmed) {
         logEvent(LogLevel::Info, "report_taken",
--- a/src/libsidecar/site_knowledge_test.cpp
+++ b/src/libsidecar/site_knowledge_test.cpp
@@ -230,7 +230,7 @@
         report.capacity_ = 10;
         report.phase_ = phase;
         report.sequence_ = sequence;
-        reports_.take(report);
+        reports_.take(report, Clock::now());
         siteState_->publish(nullptr);
     }
 
--- a/testsuite/soak/backend_standin.py
+++ b/testsuite/soak/backend_standin.py
@@ -16,13 +16,13 @@
 class Backend:
     """One incarnation of a backend server beside a node."""
 
-    def __init__(self, machine, site, record):
+    def __init__(self, machine, site, record, same_as=None, set_back_s=0.0):
         self.machine = machine
         self.site = site
         self.record = record
-        self.id = f"i-{record.new_id('b')}"
+        self.id = same_as.id if same_as else f"i-{record.new_id('b')}"
         self.random = random.Random(self.id)
-        self.born_ms = int(time.time() * 1000)
+        self.born_ms = same_as.born_ms - int(set_back_s * 1000) if same_as else int(time.time() * 1000)
         self.spec = site.services[machine.service]
         self.slots = asyncio.Semaphore(self.spec.slots)
         self.running = 0
@@ -74,12 +74,20 @@
             await self.withdraw()
         self.crash()
 
+    async def leave_and_stay(self):
+        """Says that it leaves, without ending."""
+        self.state = "left"
+        while not await self.withdraw():
+            await asyncio.sleep(0.3)
+
     async def withdraw(self):
-        """Sends the last call of a leave."""
+        """Sends the last call of a leave. Returns whether it was confirmed."""
         body = json.dumps({"born": self.born_ms}).encode()
         answer = await call(self.machine.control, "DELETE", f"/-/backends/{self.id}", body)
-        if answer and answer.status // 100 == 2:
+        confirmed = answer is not None and answer.status // 100 == 2
+        if confirmed:
             self.record.leaves.append(Leave(self.id, self.machine.name, now()))
+        return confirmed
 
     async def report_always(self):
         """Reports at intervals."""
@@ -89,15 +97,27 @@
 
     async def report(self):
         """Makes one report. Returns whether it was confirmed."""
+        return await self.send_report(self.next_report())
+
+    async def late_report(self, delay_s):
+        """Makes a report of this moment that arrives late."""
+        report = self.next_report()
+        await asyncio.sleep(delay_s)
+        await self.send_report(report)
+
+    def next_report(self):
+        """Returns what a report of this moment says."""
         self.sequence += 1
-        state = self.state
-        body = {"address": self.machine.backend_address, "born": self.born_ms,
+        return {"address": self.machine.backend_address, "born": self.born_ms,
                 "info": {"service": self.machine.service, "version": "v1", "zone": self.machine.zone,
                          "capacity": self.spec.slots},
-                "status": {"state": state, "sequence": self.sequence, "coldLeftS": 0}}
+                "status": {"state": self.state, "sequence": self.sequence, "coldLeftS": 0}}
+
+    async def send_report(self, body):
+        """Sends a report. Returns whether it was confirmed."""
         answer = await call(self.machine.control, "PUT", f"/-/backends/{self.id}", json.dumps(body).encode())
         confirmed = answer is not None and answer.status // 100 == 2
-        if confirmed and state == "draining":
+        if confirmed and body["status"]["state"] == "draining":
             self.record.leaves.append(Leave(self.id, self.machine.name, now()))
         return confirmed
 
--- a/testsuite/soak/machine.py
+++ b/testsuite/soak/machine.py
@@ -109,10 +109,11 @@
         self.start()
         return by_itself
 
-    async def start_backend(self, site, record):
-        """Starts a new incarnation of the backend server."""
+    async def start_backend(self, site, record, same_as=None, set_back_s=0.0):
+        """Starts a new incarnation of the backend server: under the id of an earlier one, if that is given, with a time
+        of day that has been set back by more than has passed."""
         for _ in range(100):
-            self.backend = Backend(self, site, record)
+            self.backend = Backend(self, site, record, same_as, set_back_s)
             try:
                 await self.backend.start()
                 return
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -19,7 +19,9 @@
         return 1
     with open(os.path.join(FOLDER, "seeds.txt"), encoding="utf-8") as lines:
         seeds = [line.split()[0] for line in lines if line.strip() and not line.startswith("#")]
-    runs = [["--seed", seed] for seed in ["1"] + seeds] + [["--faults", "store_lapse", "--fault-pause", "7"]]
+    runs = [["--seed", seed] for seed in ["1"] + seeds]
+    runs += [["--faults", "store_lapse", "--fault-pause", "7"],
+             ["--faults", "backend_set_back,unwritten_leave", "--fault-pause", "3"]]
     return max(soak.main(SHORT + run) for run in runs)
 
 
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -22,6 +22,7 @@
             (2, "hup", node(self.hup)), (1, "silent_settings", node(self.silent_settings)),
             (1, "kill_all", self.kill_all), (1, "term_in_turn", self.term_in_turn),
             (2, "backend_crash", node(self.backend_crash)), (3, "backend_leave", node(self.backend_leave)),
+            (2, "backend_set_back", node(self.backend_set_back)), (2, "unwritten_leave", node(self.unwritten_leave)),
             (2, "slow", backend("extra_work", 8.0)), (2, "lose_answers", backend("lose_answers", 0.3)),
             (2, "garble", backend("garble", 0.3)), (2, "reject", backend("reject", 0.5)),
             (1, "link_reset", node(self.link_reset)), (1, "link_delay", link("delay_s", 0.05)),
@@ -174,6 +175,40 @@
         await machine.start_backend(self.world.site, self.world.record)
         disturbance.end = now()
 
+    async def backend_set_back(self, machine, luck):
+        """A backend server starts again under its id while the time of day is behind, and leaves after a while."""
+        disturbance = self.world.record.begin("leave", machine.name)
+        before = machine.backend
+        before.crash()
+        await asyncio.sleep(luck.uniform(0.2, 1))
+        await machine.start_backend(self.world.site, self.world.record, before, luck.uniform(0.1, 3))
+        await asyncio.sleep(luck.uniform(0, 5))
+        await machine.backend.leave(luck.random() < 0.5)
+        await asyncio.sleep(luck.uniform(0.1, 1))
+        await machine.start_backend(self.world.site, self.world.record)
+        disturbance.end = now()
+
+    async def unwritten_leave(self, machine, luck):
+        """A leave is confirmed while the store is away; the node is killed, and a report from before arrives late."""
+        disturbances = [self.world.record.begin(kind, node) for kind, node in
+                        (("store", ""), ("kill", machine.name), ("leave", machine.name))]
+        leaving, store = machine.backend, self.world.store
+        store.down = luck.choice(("busy", "silent", "reset"))
+        await asyncio.sleep(luck.uniform(0.2, 1))
+        leaving.spawn(leaving.late_report(luck.uniform(1, 5)))
+        await asyncio.sleep(0.05)
+        leaving.spawn(leaving.leave_and_stay())
+        await asyncio.sleep(luck.uniform(1, 3))
+        await machine.end(signal.SIGKILL, 2)
+        store.down = ""
+        await asyncio.sleep(luck.uniform(0.1, 0.8))
+        machine.start()
+        await asyncio.sleep(luck.uniform(3, 7))
+        leaving.crash()
+        await machine.start_backend(self.world.site, self.world.record)
+        for disturbance in disturbances:
+            disturbance.end = now()
+
     async def link_reset(self, machine, luck):
         """Open links to a machine are reset."""
         disturbance = self.world.record.begin("link")
