fix(sidecar): calls over a link to an earlier address of a node are lost at once

What callers saw: nothing yet.

Cause: LinkClient::linkTo closed a link whose node has another address and dropped its calls without their callbacks. They were neither fenced nor repeated, and ended with their deadlines.

Change: the link ends like a broken one, after the current callback, without marking the node as out of reach.

Evidence: link::calls_to_the_earlier_address_of_a_node_are_lost waits 5 s in vain with the former call and passes with this one.

--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -39,6 +39,8 @@
     auto cancel(CallId id) -> void;
     auto tick(TimePoint now) -> void;
     auto close() -> void;
+    /// Ends the link to an address that the node has left: its calls are lost, and the node stays reachable.
+    auto supersede() -> void;
     auto isBroken() const -> bool
     {
         return broken_;
@@ -72,6 +74,8 @@
     auto onHello(const HelloFrame& hello) -> void;
     auto transmit(CallId id, GateCall call) -> void;
     auto fail(const std::string& reason) -> void;
+    /// Closes the connection and runs the callbacks of what waits for a reply.
+    auto endCalls(const std::string& reason) -> void;
     auto expireFences(TimePoint now) -> void;
 
     LinkClient& owner_;
@@ -292,6 +296,22 @@
         return;
     }
     const auto self = shared_from_this();
+    endCalls(reason);
+    owner_.events_.onLost_(node_, incarnation_ != 0);
+}
+
+auto LinkClient::Link::supersede() -> void
+{
+    // Not at once: the callbacks may make calls of their own.
+    asio::post(owner_.context_, [self = shared_from_this()] {
+        if (!self->broken_) {
+            self->endCalls("the node has another address");
+        }
+    });
+}
+
+auto LinkClient::Link::endCalls(const std::string& reason) -> void
+{
     broken_ = true;
     ++owner_.stats_.lost_;
     logEvent(LogLevel::Warning, "link_lost",
@@ -313,7 +333,6 @@
     for (auto& [id, pending] : fences) {
         pending.callback_(false);
     }
-    owner_.events_.onLost_(node_, incarnation_ != 0);
 }
 
 auto LinkClient::Link::close() -> void
@@ -346,7 +365,7 @@
     auto& link = links_[node.node_];
     if (!link || link->isBroken() || !(link->address() == node.link_)) {
         if (link && !link->isBroken()) {
-            link->close();
+            link->supersede();
         }
         ++stats_.opened_;
         link = std::make_shared<Link>(*this, node);
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -412,3 +412,24 @@
     cr_assert(answers == (std::vector<std::string> { "first", "second" }));
     peer->close();
 }
+
+// The calls of a link were dropped when its node had another address, and their callers waited for the end of
+// their time.
+Test(link, calls_to_the_earlier_address_of_a_node_are_lost)
+{
+    World world;
+    std::optional<LinkResult> first;
+    world.client_.call(world.node_, testCall("a"), [&](LinkResult result) {
+        first = std::move(result);
+    });
+    cr_assert(world.runUntil([&] {
+        return world.pool_->sent_.size() == 1;
+    }));
+    auto moved = world.node_;
+    moved.link_ = { "127.0.0.1", freePort(world.context_) };
+    world.client_.connect(moved);
+    cr_assert(world.runUntil([&] {
+        return first.has_value();
+    }));
+    cr_assert(std::get<LinkFailure>(first->value_) == LinkFailure::Lost && first->incarnation_ == 11);
+}
