fix(sidecar): a leave is confirmed only if it outlives the process

What callers saw: nothing yet.

Cause: the confirmation waited for the store for 0.5 s and was then given whatever had become of the entry.

Change: SiteState learns from an answered ping that a peer has handled the entry with the leave; ReportServer confirms without the store only then, refuses the report after 0.8 s otherwise, and treats repeated reports alike.

--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -6,6 +6,7 @@
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <deque>
 
 namespace wagtailhead {
 
@@ -36,6 +37,7 @@
     auto sendCall(CallId id, GateCall call, Callback callback) -> void;
     auto sendFence(CallId id, FenceFrame frame, TimePoint deadline, FenceCallback callback) -> void;
     auto send(const Frame& frame) -> void;
+    auto ping(std::function<void()> answered) -> void;
     auto cancel(CallId id) -> void;
     auto tick(TimePoint now) -> void;
     auto close() -> void;
@@ -87,6 +89,7 @@
     std::unordered_map<CallId, PendingCall> calls_;
     std::unordered_map<CallId, PendingFence> fences_;
     std::vector<Frame> unsentOthers_;
+    std::deque<std::function<void()>> pings_; ///< Not answered yet; each may have a callback.
     TimePoint connectDeadline_;
     TimePoint lastSent_ = Clock::now();
     TimePoint lastUse_ = Clock::now();
@@ -187,6 +190,12 @@
         owner_.events_.onHeartbeat_(node_, *heartbeat);
     } else if (const auto* load = std::get_if<LoadFrame>(&frame)) {
         owner_.events_.onLoad_(node_, load->load_);
+    } else if (std::holds_alternative<PongFrame>(frame) && !pings_.empty()) {
+        const auto answered = std::move(pings_.front());
+        pings_.pop_front();
+        if (answered) {
+            answered();
+        }
     } else if (const auto* request = std::get_if<StateRequestFrame>(&frame)) {
         stream_->send(owner_.events_.state_(*request));
     }
@@ -236,6 +245,12 @@
     stream_->send(frame);
 }
 
+auto LinkClient::Link::ping(std::function<void()> answered) -> void
+{
+    pings_.push_back(std::move(answered));
+    send(PingFrame {});
+}
+
 auto LinkClient::Link::cancel(CallId id) -> void
 {
     const auto found = calls_.find(id);
@@ -270,6 +285,7 @@
         fail("silent");
     } else if (quiet > pingAfter && !pinged_) {
         pinged_ = true;
+        pings_.emplace_back(nullptr);
         stream_->send(PingFrame {});
     }
 }
@@ -419,6 +435,11 @@
     linkTo(node)->send(frame);
 }
 
+auto LinkClient::afterHandled(const NodeEntry& node, std::function<void()> handled) -> void
+{
+    linkTo(node)->ping(std::move(handled));
+}
+
 auto LinkClient::broadcast(const Frame& frame) -> void
 {
     for (const auto& [node, link] : links_) {
--- a/src/libsidecar/link_client.h
+++ b/src/libsidecar/link_client.h
@@ -83,6 +83,10 @@
     /// Sends a frame to a node; it is lost if the link breaks.
     auto sendFrame(const NodeEntry& node, const Frame& frame) -> void;
 
+    /// Runs `handled` once the node has handled all frames that were sent to it before. It does not run if
+    /// the link breaks first.
+    auto afterHandled(const NodeEntry& node, std::function<void()> handled) -> void;
+
     /// Sends a frame over all open links.
     auto broadcast(const Frame& frame) -> void;
 
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -433,3 +433,26 @@
     }));
     cr_assert(std::get<LinkFailure>(first->value_) == LinkFailure::Lost && first->incarnation_ == 11);
 }
+
+Test(link, tells_when_a_node_has_handled_a_frame)
+{
+    World world;
+    std::string handled;
+    world.client_.sendFrame(world.node_, BeatFrame { 3, true, true, 5 });
+    world.client_.afterHandled(world.node_, [&] {
+        handled = world.beatFrom_;
+    });
+    cr_assert(world.runUntil([&] {
+        return !handled.empty();
+    }));
+    cr_assert(handled == "caller");
+    world.server_.reset();
+    bool late = false;
+    world.client_.afterHandled(world.node_, [&] {
+        late = true;
+    });
+    cr_assert(world.runUntil([&] {
+        return world.lost_ > 0;
+    }));
+    cr_assert(!late);
+}
--- a/src/libsidecar/report_server.cpp
+++ b/src/libsidecar/report_server.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
+/// How long the store is waited for alone.
+constexpr Duration storeTime = milliseconds(500);
 /// The backend server waits a second for the confirmation of a report.
-constexpr Duration longestConfirmation = milliseconds(500);
+constexpr Duration longestConfirmation = milliseconds(800);
 constexpr int statusUnavailable = 503;
 
 class AsioReportServer final : public ReportServer {
@@ -26,17 +28,24 @@
     /// A confirmation that waits for the store.
     struct Waiting {
         std::shared_ptr<http1::Exchange> exchange_;
+        std::string id_; ///< Of the backend server.
+        std::uint64_t bornMs_ = 0;
         TimePoint since_;
         bool answered_ = false;
     };
 
     auto onRequest(const http1::Request& request, const std::shared_ptr<http1::Exchange>& exchange) -> void;
     auto onReport(const BackendReport& report, const std::shared_ptr<http1::Exchange>& exchange) -> void;
+    auto refuse(const std::shared_ptr<http1::Exchange>& exchange) -> void;
     auto confirm(const std::shared_ptr<Waiting>& waiting) -> void;
+    /// Returns whether the current backend server leaves and would be in use again after a restart.
+    auto isLeaveAtRisk() const -> bool;
 
     ReportServerParts parts_;
     std::shared_ptr<http1::Listener> listener_;
     std::deque<std::shared_ptr<Waiting>> waiting_;
+    std::string securedId_; ///< Backend server whose leave has been confirmed.
+    std::uint64_t securedBornMs_ = 0;
 };
 
 auto AsioReportServer::listen(asio::io_context& context, const Address& address) -> Result<Done>
@@ -66,15 +75,25 @@
     }
     const auto& report = std::get<BackendReport>(decoded);
     if (!parts_.isRestored_() && report.phase_ == BackendPhase::Ready) {
-        // Whether this backend server has left before is not known yet; it reports again soon.
-        http1::Response response;
-        response.status_ = statusUnavailable;
-        exchange->respond(std::move(response));
+        refuse(exchange); // Whether this backend server has left before is not known yet.
         return;
     }
     onReport(report, exchange);
 }
 
+auto AsioReportServer::refuse(const std::shared_ptr<http1::Exchange>& exchange) -> void
+{
+    http1::Response response;
+    response.status_ = statusUnavailable;
+    exchange->respond(std::move(response));
+}
+
+auto AsioReportServer::isLeaveAtRisk() const -> bool
+{
+    const auto& status = parts_.reports_.status();
+    return isLeaving(status.phase_) && (securedId_ != status.id_ || securedBornMs_ != status.bornMs_);
+}
+
 auto AsioReportServer::onReport(const BackendReport& report, const std::shared_ptr<http1::Exchange>& exchange)
     -> void
 {
@@ -86,8 +105,10 @@
                 { "sequence", report.sequence_ }, { "born_ms", report.bornMs_ },
                 { "verdict", reportVerdictName(verdict) } });
     }
-    if (verdict == ReportVerdict::Changed && leaving) {
-        auto waiting = std::make_shared<Waiting>(Waiting { exchange, Clock::now() });
+    if (leaving && isLeaveAtRisk()) {
+        const auto& status = parts_.reports_.status();
+        auto waiting
+            = std::make_shared<Waiting>(Waiting { exchange, status.id_, status.bornMs_, Clock::now() });
         waiting_.push_back(waiting);
         parts_.onChanged_([this, waiting] {
             confirm(waiting);
@@ -102,6 +123,8 @@
 
 auto AsioReportServer::confirm(const std::shared_ptr<Waiting>& waiting) -> void
 {
+    securedId_ = waiting->id_;
+    securedBornMs_ = waiting->bornMs_;
     if (!std::exchange(waiting->answered_, true)) {
         waiting->exchange_->respond(parts_.answer_());
     }
@@ -112,13 +135,18 @@
     listener_->tick(now);
     while (!waiting_.empty()) {
         const auto first = waiting_.front();
-        if (!first->answered_ && now - first->since_ < longestConfirmation) {
+        const auto waited = now - first->since_;
+        const bool held = waited >= storeTime && parts_.isLeaveHeld_();
+        if (!first->answered_ && !held && waited < longestConfirmation) {
             return;
         }
-        if (!first->answered_) {
-            logEvent(LogLevel::Warning, "leave_confirmed_unwritten");
+        if (!first->answered_ && held) {
+            logEvent(LogLevel::Warning, "leave_confirmed_unwritten", { { "backend", first->id_ } });
+            confirm(first);
+        } else if (!std::exchange(first->answered_, true)) {
+            logEvent(LogLevel::Warning, "leave_not_confirmed", { { "backend", first->id_ } });
+            refuse(first->exchange_);
         }
-        confirm(first);
         waiting_.pop_front();
     }
 }
--- a/src/libsidecar/report_server.h
+++ b/src/libsidecar/report_server.h
@@ -19,10 +19,13 @@
     std::function<void(std::function<void()> onWritten)> onChanged_;
     /// Whether what an earlier process of this node knew has been read.
     std::function<bool()> isRestored_;
+    /// Whether another node holds the leave of the current backend server.
+    std::function<bool()> isLeaveHeld_;
 };
 
-/// A leave is confirmed once it would outlive this process, or after a short time when the store does not
-/// answer. All members run in the context's single thread.
+/// A leave is confirmed once it would outlive this process: when the store has it or, after a short time
+/// without the store, when another node has it. Otherwise the report is refused, and the backend server
+/// repeats it. All members run in the context's single thread.
 class ReportServer {
 public:
     static auto open(asio::io_context& context, const Address& address, ReportServerParts parts)
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -302,6 +302,9 @@
             },
             [this] {
                 return siteState_->hasNodeList() || settings_.firstStart_;
+            },
+            [this] {
+                return siteState_->isLeaveHeld();
             } });
     if (!isOk(reports)) {
         return errorOf(reports);
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -282,6 +282,8 @@
         entry.generation_ = generation_;
         parts_.directory_.apply(entry);
         announce(entry);
+    } else if (onWritten && isLeaving(entry.phase_) && !isLeaveHeld()) {
+        announce(entry); // No node has confirmed it so far.
     }
     published_ = true;
     if (hasNodeList_ || options_.firstStart_) {
@@ -293,6 +295,12 @@
     }
 }
 
+auto SiteState::isLeaveHeld() const -> bool
+{
+    const auto& status = parts_.reports_.status();
+    return !heldLeaveId_.empty() && heldLeaveId_ == status.id_ && heldLeaveBornMs_ == status.bornMs_;
+}
+
 auto SiteState::stopAccepting() -> void
 {
     accepting_ = false;
@@ -309,8 +317,15 @@
     }
     for (const auto& zone : zones) {
         for (const auto& watcher : storeWatchersOf(nodes, zone, watchersPerZone)) {
-            if (watcher.node_ != options_.self_.node_) {
-                parts_.links_.sendFrame(watcher, EntryFrame { entry });
+            if (watcher.node_ == options_.self_.node_) {
+                continue;
+            }
+            parts_.links_.sendFrame(watcher, EntryFrame { entry });
+            if (isLeaving(entry.phase_)) {
+                parts_.links_.afterHandled(watcher, [this, entry] {
+                    heldLeaveId_ = entry.backendId_;
+                    heldLeaveBornMs_ = entry.backendBornMs_;
+                });
             }
         }
     }
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -50,6 +50,8 @@
     /// Publishes the current state of the backend server to other nodes and to the store. `onWritten` runs
     /// once the store has confirmed the write.
     auto publish(std::function<void()> onWritten) -> void;
+    /// Returns whether another node has confirmed that it holds the leave of the current backend server.
+    auto isLeaveHeld() const -> bool;
     /// Announces that this node is stopping, so that other nodes send it no further requests.
     auto stopAccepting() -> void;
 
@@ -126,6 +128,8 @@
     std::shared_ptr<KindWatch> nodeWatch_;
     std::optional<WatchRoles> roles_; ///< Set once the node list has been received.
     std::map<std::string, std::uint64_t> revisions_; ///< Store revisions of other nodes' entries, by node.
+    std::string heldLeaveId_; ///< Backend server whose leave another node holds.
+    std::uint64_t heldLeaveBornMs_ = 0;
     std::uint64_t generation_ = 0; ///< Greatest generation seen of this node's entry.
     bool hasNodeList_ = false;
     bool published_ = false;
--- a/src/libsidecar/site_knowledge_test.cpp
+++ b/src/libsidecar/site_knowledge_test.cpp
@@ -444,6 +444,23 @@
     cr_assert(received[0].generation_ == 1000 && received[0].backendId_ == "i-n1");
 }
 
+Test(site_knowledge, a_leave_is_held_once_another_node_has_handled_it)
+{
+    NodeFixture fixture;
+    fixture.store_.answerList(nodeKind, {});
+    fixture.siteState_->onEntry(entryOf("n1", 1));
+    fixture.report(BackendPhase::Ready, 1);
+    fixture.report(BackendPhase::Draining, 2);
+    fixture.runFor(milliseconds(50));
+    cr_assert(!fixture.siteState_->isLeaveHeld(), "no node listens");
+    auto server
+        = LinkServer::open(fixture.context_, { "127.0.0.1", fixture.port_ }, fixture.serverParts([] {}));
+    cr_assert(isOk(server));
+    fixture.siteState_->publish([] {});
+    fixture.runFor(milliseconds(50));
+    cr_assert(fixture.siteState_->isLeaveHeld());
+}
+
 // Another node that takes this one for removed must not end the use of its backend server.
 Test(site_knowledge, a_node_that_others_took_for_removed_goes_on)
 {
