fix(sidecar): responses that callers have not read yet are bounded

Slow readers of 24 MB downloads took the process over its memory; 8 of 8 orders in flight were lost with it.

Cause: a response is held whole until its caller has read it, and nothing bounds their sum.

Change: the listener counts what it holds. From a quarter of the process's memory on the entry refuses downloads before they run, and gives up responses to requests that may be repeated; others are always held.

--- a/src/libhttp1/http1_connection.cpp
+++ b/src/libhttp1/http1_connection.cpp
@@ -130,6 +130,7 @@
     response.keepAlive_ = keepAlive_;
     output_.clear();
     appendResponse(output_, response, toHead_);
+    listener_->unwrittenBytes_ += output_.size();
     phase_ = Phase::Writing;
     phaseStart_ = Clock::now();
     write();
@@ -162,7 +163,7 @@
     if (phase_ != Phase::Writing) {
         return;
     }
-    output_ = {};
+    releaseOutput();
     if (!keepAlive_) {
         linger();
         return;
@@ -178,6 +179,12 @@
     waitReadable();
 }
 
+auto Connection::releaseOutput() -> void
+{
+    listener_->unwrittenBytes_ -= output_.size();
+    output_ = {};
+}
+
 auto Connection::linger() -> void
 {
     phase_ = Phase::Lingering;
@@ -207,6 +214,7 @@
     listener_->connections_.erase(self);
     asio::error_code ignored; // Nothing is left to do with the socket.
     socket_.close(ignored);
+    releaseOutput();
 }
 
 auto Connection::onGone(std::function<void()> handler) -> void
--- a/src/libhttp1/http1_connection.h
+++ b/src/libhttp1/http1_connection.h
@@ -12,6 +12,7 @@
     ListenerLimits limits_;
     Listener::Handler handler_;
     bool closing_ = false;
+    std::size_t unwrittenBytes_ = 0; ///< Of the responses of all connections.
     std::unordered_set<std::shared_ptr<Connection>> connections_;
     /// Each read is handled at once, so one buffer serves all connections.
     std::array<char, 65536> buffer_ {};
@@ -50,6 +51,7 @@
     auto refuse(int status) -> void;
     auto write() -> void;
     auto afterWrite() -> void;
+    auto releaseOutput() -> void;
     auto linger() -> void;
     auto callerGone() -> void;
     auto close() -> void;
--- a/src/libhttp1/http1_listener.cpp
+++ b/src/libhttp1/http1_listener.cpp
@@ -51,6 +51,11 @@
             }));
     }
 
+    auto unwrittenBytes() const -> std::size_t override
+    {
+        return state_->unwrittenBytes_;
+    }
+
 private:
     auto add(asio::ip::tcp::socket socket) -> void;
     auto acceptAfterPause() -> void;
--- a/src/libhttp1/http1_listener.h
+++ b/src/libhttp1/http1_listener.h
@@ -64,6 +64,9 @@
 
     /// Returns the number of connections with a request whose response has not been written completely.
     virtual auto unansweredCount() const -> std::size_t = 0;
+
+    /// Returns the size of all responses that are held because their callers have not read them yet.
+    virtual auto unwrittenBytes() const -> std::size_t = 0;
 };
 
 } // namespace wagtailhead::http1
--- a/src/libhttp1/http1_network_test.cpp
+++ b/src/libhttp1/http1_network_test.cpp
@@ -690,8 +690,12 @@
     asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
     const auto received = readSlowly(context, caller, slowBodyBytes, [&] {
         listener->tick(Clock::now());
+        cr_assert(listener->unwrittenBytes() > slowBodyBytes);
     });
     cr_assert(received == slowBodyBytes, "%zu bytes", received);
+    caller.close();
+    context.run_for(milliseconds(20));
+    cr_assert(listener->unwrittenBytes() == 0);
 }
 
 // The same limit ended connections to backend servers that read a request slowly; a request that must not run
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -23,6 +23,8 @@
     Gate& gate_;
     RequestMetrics& metrics_;
     std::function<SiteConfigurationPtr()> configuration_;
+    /// Whether the memory allows to hold another response of so many bytes until its caller has read it.
+    std::function<bool(std::size_t bytes)> hasRoom_;
 };
 
 /// Accepts requests of callers and tracks them until they are answered. All members run in the single thread
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -32,12 +32,16 @@
     order.prefix_ = "/order/";
     order.idempotent_ = false;
     order.rank_ = 0;
+    auto sheet = read;
+    sheet.name_ = "sheet";
+    sheet.prefix_ = "/sheet/";
+    sheet.bulk_ = true;
     auto missing = read;
     missing.name_ = "missing";
     missing.prefix_ = "/missing/";
     missing.destinations_ = { { "nowhere", 1 } };
-    return std::make_shared<const SiteConfiguration>(
-        1, "", std::vector<SiteRoute> { read, order, missing }, std::vector<SiteService> {}, CallerLimits {});
+    return std::make_shared<const SiteConfiguration>(1, "",
+        std::vector<SiteRoute> { read, order, sheet, missing }, std::vector<SiteService> {}, CallerLimits {});
 }
 
 /// A node with a fake connection pool instead of a backend server, and a caller on a real connection.
@@ -127,9 +131,14 @@
                              .headers_ = testHeaderNames(),
                              .retries_ = { .ranPart_ = 1, .rejectedPart_ = 1, .share_ = 1, .burst_ = 10 },
                              .seed_ = 1 },
-        { directory_, links_, gate_, metrics_, [this] {
-             return configuration_;
-         } } };
+        { directory_, links_, gate_, metrics_,
+            [this] {
+                return configuration_;
+            },
+            [this](std::size_t bytes) {
+                return bytes < room_;
+            } } };
+    std::size_t room_ = std::size_t { 1 } << 20;
     std::uint16_t port_ = 0;
     std::shared_ptr<http1::Listener> listener_;
     asio::ip::tcp::socket client_ { context_ };
@@ -158,6 +167,38 @@
     cr_assert(contains(text, "Seal: s"));
 }
 
+// Callers that read downloads slowly took the process over its memory, and the orders in flight were lost
+// with it (review case 4).
+Test(caller_entry, responses_without_room_are_not_held)
+{
+    struct Case {
+        const char* path_;
+        const char* method_;
+        std::size_t room_; ///< When the request comes; there is none when it is answered.
+        const char* status_;
+    };
+    const Case cases[] = {
+        { "/sheet/1", "GET", 0, " 503 " },
+        { "/sheet/1", "GET", 1, " 502 " },
+        { "/read/1", "GET", 0, " 502 " },
+        { "/order/1", "POST", 0, " 200 " },
+    };
+    for (const auto& testCase : cases) {
+        CallerEntryFixture fixture;
+        fixture.room_ = testCase.room_;
+        fixture.send(testCase.method_, testCase.path_);
+        const bool refused = contains(testCase.status_, "503");
+        if (!refused) {
+            fixture.waitForBackend();
+            fixture.room_ = 0;
+            fixture.pool_->answer(sealedAnswer("a1"));
+        }
+        const auto text = fixture.answer();
+        cr_expect(contains(text, testCase.status_), "%s: %s", testCase.path_, text.c_str());
+        cr_expect(!refused || (fixture.pool_->sent_.empty() && contains(text, "Retry-After")));
+    }
+}
+
 Test(caller_entry, responds_itself_without_configuration_route_or_backend)
 {
     struct Case {
--- a/src/libsidecar/caller_operation.cpp
+++ b/src/libsidecar/caller_operation.cpp
@@ -60,6 +60,10 @@
         refuse("shed");
         return;
     }
+    if (route_->bulk_ && !shared_.hasRoom_(0)) {
+        refuse("memory");
+        return;
+    }
     shared_.budgets_.onFirstTry(trace_.service_, Clock::now());
     attempt();
 }
@@ -283,6 +287,11 @@
         attempt();
         return;
     }
+    if (route_->idempotent_ && !shared_.hasRoom_(reply.response_.body_.size())) {
+        // Its caller may repeat it, unlike the orders that would be lost with the process.
+        fail(statusBadGateway, "memory");
+        return;
+    }
     respond(std::move(reply.response_), RequestOutcome::Answered, failed ? "backend-failed" : "");
 }
 
--- a/src/libsidecar/caller_operation.h
+++ b/src/libsidecar/caller_operation.h
@@ -43,6 +43,8 @@
     RequestMetrics& metrics_;
     CallerEntryStats& stats_;
     std::function<SiteConfigurationPtr()> configuration_;
+    /// Whether the memory allows to hold another response of so many bytes until its caller has read it.
+    std::function<bool(std::size_t bytes)> hasRoom_;
     std::function<const std::string&(const SiteRoute& route)> chooseDestination_;
     /// Called when the request has been answered or its caller has disconnected.
     std::function<void(const std::shared_ptr<CallerOperation>& operation)> onEnded_;
--- a/src/libsidecar/node_gauges.cpp
+++ b/src/libsidecar/node_gauges.cpp
@@ -61,6 +61,8 @@
         static_cast<double>(now.callers_.retries_));
     set({ "wagtailhead_caller_connections", "Open connections of callers." },
         static_cast<double>(now.callerConnections_));
+    set({ "wagtailhead_caller_unwritten_bytes", "Size of the responses that callers have not read yet." },
+        static_cast<double>(now.unwrittenBytes_));
     set({ "wagtailhead_links_lost", "Links to other nodes that broke since the start." },
         static_cast<double>(now.links_.lost_));
     set({ "wagtailhead_config_version", "Version of the configuration in force." },
--- a/src/libsidecar/node_gauges.h
+++ b/src/libsidecar/node_gauges.h
@@ -17,6 +17,7 @@
     LinkStats links_;
     ObjectStoreStats store_;
     std::size_t callerConnections_ = 0;
+    std::size_t unwrittenBytes_ = 0; ///< Of responses to callers.
     std::uint64_t configVersion_ = 0;
     Duration configAge_ {}; ///< Since it was adopted.
     std::size_t nodes_ = 0; ///< Known ones.
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -44,6 +44,9 @@
         std::chrono::duration_cast<microseconds>(WallClock::now().time_since_epoch()).count());
 }
 
+/// A part of the memory of the process that responses may take until their callers have read them.
+constexpr std::size_t unwrittenMemoryDivisor = 4;
+
 /// A part of the memory of the process that responses of the backend server may take while they are read.
 /// Each is held twice more on its way to the caller.
 constexpr std::size_t bufferedMemoryDivisor = 5;
@@ -148,9 +151,15 @@
                      .burst_ = settings_.retryBurst_,
                      .window_ = settings_.retryWindow_ },
                  .seed_ = settings_.seed_ + 1 },
-          { directory_, links_, gate_, metrics_, [this] {
-               return siteState_->configuration();
-           } })
+          { directory_, links_, gate_, metrics_,
+              [this] {
+                  return siteState_->configuration();
+              },
+              [this](std::size_t bytes) {
+                  return settings_.memoryBytes_ == 0
+                      || callers_->unwrittenBytes() + bytes
+                      <= settings_.memoryBytes_ / unwrittenMemoryDivisor;
+              } })
 {
 }
 
@@ -493,6 +502,7 @@
     now.links_ = links_.stats();
     now.store_ = store_->stats();
     now.callerConnections_ = callers_->connectionCount();
+    now.unwrittenBytes_ = callers_->unwrittenBytes();
     now.configVersion_ = siteState_->version();
     now.configAge_ = Clock::now() - configurationAdopted_;
     now.nodes_ = directory_.size();
