fix(sidecar): a link that owes the answer to a request for state may not stay silent

What callers saw: nothing yet.

Cause: LinkClient watched the silence of a link only while calls or fences were due.

Change: pings count as owed replies, and a request for state is followed by one.

Evidence: without that ping link::a_silent_node_that_was_asked_for_its_state_is_lost waits 5 s in vain; it passes now.

--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -239,7 +239,7 @@
         return;
     }
     // The silence of the other side counts from the time when it first owes something.
-    if (calls_.size() + fences_.size() <= 1) {
+    if (calls_.size() + fences_.size() + pings_.size() <= 1) {
         lastSent_ = Clock::now();
     }
     stream_->send(frame);
@@ -276,7 +276,7 @@
         }
         return;
     }
-    if (calls_.empty() && fences_.empty()) {
+    if (calls_.empty() && fences_.empty() && pings_.empty()) {
         return;
     }
     const auto quiet = now - std::max(stream_->lastReceived(), lastSent_);
@@ -422,7 +422,9 @@
 
 auto LinkClient::requestState(const NodeEntry& node, const StateRequestFrame& request) -> void
 {
-    linkTo(node)->send(request);
+    const auto link = linkTo(node);
+    link->send(request);
+    link->ping(nullptr); // The state itself may be missing; a reply is owed in any case.
 }
 
 auto LinkClient::connect(const NodeEntry& node) -> void
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -456,3 +456,22 @@
     }));
     cr_assert(!late);
 }
+
+// A link that had gone silent without calls under way stayed open, and what was asked for over it never came.
+Test(link, a_silent_node_that_was_asked_for_its_state_is_lost)
+{
+    World world;
+    asio::ip::tcp::acceptor silent(world.context_, { asio::ip::make_address("127.0.0.1"), 0 });
+    world.node_.link_.port_ = silent.local_endpoint().port();
+    asio::ip::tcp::socket peer(world.context_);
+    std::string hello;
+    appendFrame(hello, HelloFrame { "n1", 5, 0 });
+    silent.async_accept(peer, [&](const asio::error_code&) {
+        asio::write(peer, asio::buffer(hello));
+    });
+    world.client_.requestState(world.node_, { 0, true });
+    cr_assert(world.runUntil([&] {
+        return world.lost_ > 0;
+    }));
+    cr_assert(world.client_.stats().silent_ == 1);
+}
