--- a/src/include/wagtailhead/backend_reports.h
+++ b/src/include/wagtailhead/backend_reports.h
@@ -42,14 +42,14 @@
 
 /// Applies reports, which may arrive in any order. Within one start of the backend server the phase only
 /// moves forward, so a late report cannot undo a drain. A later start replaces an earlier one. As the time of
-/// day may be set back between two starts, their times alone do not tell which one is over: a start that goes
+/// day may be set back between two starts, their times alone do not show which one is over: a start that goes
 /// on reporting while the current one is quiet replaces it too. Not thread safe.
 class BackendReports {
 public:
     explicit BackendReports(std::string service);
 
-    /// Applies a report that arrived at `now`. A leave that is not the current start's is Stale only if that
-    /// start gets no requests, so that it may be confirmed in any case.
+    /// Applies a report that arrived at `now`. The leave of another start is Stale only if that start gets no
+    /// requests, so a leave may be confirmed whatever the verdict.
     auto take(const BackendReport& report, TimePoint now) -> ReportVerdict;
 
     /// Restores the status from an entry that an earlier process of this node published. State from reports
--- a/src/include/wagtailhead/object_store.h
+++ b/src/include/wagtailhead/object_store.h
@@ -72,7 +72,7 @@
         = 0;
 
     /// Waits up to `wait` for a change after `revision`. Returns a positive id for cancelWatch(). The answer
-    /// may be lost without a sign; changesSoFar() tells.
+    /// may be lost without a sign; changesSoFar() shows that.
     virtual auto watch(const std::string& kind, std::uint64_t revision, Duration wait,
         Callback<StoredChanges> callback) -> WatchId = 0;
 
--- a/src/libhttp1/socket_options.h
+++ b/src/libhttp1/socket_options.h
@@ -19,15 +19,15 @@
 /// keep-alive probes. Half of the shortest contact window seen in practice.
 constexpr Duration silentPathLimit = seconds(2);
 
-/// Sends small messages at once and has the kernel notice a path that has gone silent. A slow peer may keep
-/// its receive window closed, which the kernel's limit for unacknowledged bytes (TCP_USER_TIMEOUT) does not
-/// tell from a silent path: its connections have keep-alive probes only, and isPathSilent() while bytes are
-/// in flight. Precondition: the socket is open.
+/// Sends small messages at once and has the kernel notice a path that has gone silent. The kernel's limit for
+/// unacknowledged bytes (TCP_USER_TIMEOUT) also ends a connection whose peer keeps its receive window closed,
+/// so it is set for prompt peers only. For slow peers there are keep-alive probes, and isPathSilent() while
+/// bytes are in flight. Precondition: the socket is open.
 auto setPathOptions(asio::ip::tcp::socket& socket, PeerPace pace) -> void;
 
 /// Returns whether bytes are in flight and the peer has acknowledged nothing for silentPathLimit. A peer that
-/// does not read still acknowledges what it has room for. Precondition: bytes were sent no later than
-/// silentPathLimit ago. Safe to call from the thread that uses the socket only.
+/// does not read still acknowledges what it has room for. Precondition: the transmission began at least
+/// silentPathLimit ago. Call it in the thread that uses the socket.
 auto isPathSilent(asio::ip::tcp::socket& socket) -> bool;
 
 /// Precondition: the address has been checked by parseAddress().
--- a/src/libsidecar/report_server.cpp
+++ b/src/libsidecar/report_server.cpp
@@ -136,7 +136,7 @@
     while (!waiting_.empty()) {
         const auto first = waiting_.front();
         const auto waited = now - first->since_;
-        const bool held = waited >= storeTime && parts_.isLeaveHeld_();
+        const bool held = waited >= storeTime && parts_.isLeaveHeld_(first->id_, first->bornMs_);
         if (!first->answered_ && !held && waited < longestConfirmation) {
             return;
         }
--- a/src/libsidecar/report_server.h
+++ b/src/libsidecar/report_server.h
@@ -19,8 +19,8 @@
     std::function<void(std::function<void()> onWritten)> onChanged_;
     /// Whether what an earlier process of this node knew has been read.
     std::function<bool()> isRestored_;
-    /// Whether another node holds the leave of the current backend server.
-    std::function<bool()> isLeaveHeld_;
+    /// Whether another node holds the leave of this start of a backend server.
+    std::function<bool(const std::string& id, std::uint64_t bornMs)> isLeaveHeld_;
 };
 
 /// A leave is confirmed once it would outlive this process: when the store has it or, after a short time
--- a/src/libsidecar/report_server_test.cpp
+++ b/src/libsidecar/report_server_test.cpp
@@ -38,8 +38,8 @@
                 [] {
                     return true;
                 },
-                [this] {
-                    return held_;
+                [this](const std::string& id, std::uint64_t bornMs) {
+                    return held_ && id == "i-1" && bornMs == 100;
                 } });
         cr_assert(isOk(opened));
         server_ = valueOf(std::move(opened));
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -312,8 +312,8 @@
             [this] {
                 return siteState_->hasNodeList() || settings_.firstStart_;
             },
-            [this] {
-                return siteState_->isLeaveHeld();
+            [this](const std::string& id, std::uint64_t bornMs) {
+                return siteState_->isLeaveHeld(id, bornMs);
             } });
     if (!isOk(reports)) {
         return errorOf(reports);
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -282,7 +282,7 @@
         entry.generation_ = generation_;
         parts_.directory_.apply(entry);
         announce(entry);
-    } else if (onWritten && isLeaving(entry.phase_) && !isLeaveHeld()) {
+    } else if (onWritten && isLeaving(entry.phase_) && !isLeaveHeld(entry.backendId_, entry.backendBornMs_)) {
         announce(entry); // No node has confirmed it so far.
     }
     published_ = true;
@@ -295,10 +295,9 @@
     }
 }
 
-auto SiteState::isLeaveHeld() const -> bool
+auto SiteState::isLeaveHeld(const std::string& id, std::uint64_t bornMs) const -> bool
 {
-    const auto& status = parts_.reports_.status();
-    return !heldLeaveId_.empty() && heldLeaveId_ == status.id_ && heldLeaveBornMs_ == status.bornMs_;
+    return !heldLeaveId_.empty() && heldLeaveId_ == id && heldLeaveBornMs_ == bornMs;
 }
 
 auto SiteState::stopAccepting() -> void
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -50,8 +50,8 @@
     /// Publishes the current state of the backend server to other nodes and to the store. `onWritten` runs
     /// once the store has confirmed the write.
     auto publish(std::function<void()> onWritten) -> void;
-    /// Returns whether another node has confirmed that it holds the leave of the current backend server.
-    auto isLeaveHeld() const -> bool;
+    /// Returns whether another node has confirmed that it holds the leave of this start of a backend server.
+    auto isLeaveHeld(const std::string& id, std::uint64_t bornMs) const -> bool;
     /// Announces that this node is stopping, so that other nodes send it no further requests.
     auto stopAccepting() -> void;
 
--- a/src/libsidecar/site_knowledge_test.cpp
+++ b/src/libsidecar/site_knowledge_test.cpp
@@ -452,13 +452,13 @@
     fixture.report(BackendPhase::Ready, 1);
     fixture.report(BackendPhase::Draining, 2);
     fixture.runFor(milliseconds(50));
-    cr_assert(!fixture.siteState_->isLeaveHeld(), "no node listens");
+    cr_assert(!fixture.siteState_->isLeaveHeld("i-self", 5), "no node listens");
     auto server
         = LinkServer::open(fixture.context_, { "127.0.0.1", fixture.port_ }, fixture.serverParts([] {}));
     cr_assert(isOk(server));
     fixture.siteState_->publish([] {});
     fixture.runFor(milliseconds(50));
-    cr_assert(fixture.siteState_->isLeaveHeld());
+    cr_assert(fixture.siteState_->isLeaveHeld("i-self", 5));
 }
 
 // Another node that takes this one for removed must not end the use of its backend server.
