--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -70,6 +71,15 @@
     return [program] + words[1:]
 
 
+def need_descriptors(count):
+    """Sees to it that this process and those that it starts may open so many files."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < count:
+        if hard != resource.RLIM_INFINITY and hard < count:
+            raise CannotRun(f"{hard} descriptors are allowed here, {count} are needed")
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
 def free_addresses(count):
     """Returns the beginning of loopback addresses and a port from which `count` ports are free there, and the port of the
     deploy file's metrics too."""
@@ -118,7 +128,7 @@
                      "ipAddr": self.inbound.split(":")[0], "zone": self.zone, "region": deployment.zones[self.zone],
                      "countsTowardLoss": False, "bootstrap": self.first, "dataDir": None,
                      "limits": {"cpuShare": 0.4, "cpuCores": 1, "memoryMb": deployment.memory_mb, "maxFds": 4100,
-                                "linkMbps": 200.0, "diskMb": 0},
+                                "linkMbps": deployment.link_mbps, "diskMb": 0},
                      "appAddr": self.app, "service": self.service},
             "network": {"listen": {"inbound": self.inbound, "outbound": self.outbound, "ready": self.ready,
                                    "control": self.control}, "innerPorts": [7620, 7635], "seedAddrs": [],
@@ -131,7 +141,9 @@
         }
 
     def start(self):
-        """Starts the node process."""
+        """Starts the node process, unless all is ended already."""
+        if self.deployment.closed:
+            return
         path = os.path.join(self.deployment.folder, self.name + ".json")
         with open(path + ".new", "w", encoding="utf-8") as out:
             json.dump(self.settings(), out)
@@ -277,7 +289,7 @@
 class Deployment:
     """Machines, store and operator."""
 
-    def __init__(self, folder, zones, layout, bounds, memory_mb=160, backend=Backend):
+    def __init__(self, folder, zones, layout, bounds, memory_mb=160, backend=Backend, link_mbps=200.0):
         """`layout` holds zone and service of each machine; `backend(node)` makes a backend server."""
         self.record = Record(os.path.join(folder, "record.txt"))
         self.command = deploy_command()
@@ -285,6 +297,7 @@
         self.zones = zones
         self.bounds = bounds
         self.memory_mb = memory_mb
+        self.link_mbps = link_mbps
         self.network, self.base_port = free_addresses(6)
         self.store = StoreStandin()
         self.store_address = f"{self.network}.0.1:{self.base_port}"
@@ -292,6 +305,7 @@
         for node in self.nodes:
             node.backend = backend(node)
         self.keeper = None
+        self.closed = False
 
     def configuration(self, rules, limits=None):
         """Returns what the operator writes for these rules on one host."""
@@ -340,6 +354,7 @@
 
     def close(self):
         """Ends everything that was started."""
+        self.closed = True
         if self.keeper:
             self.keeper.cancel()
         for node in self.nodes:
@@ -391,11 +406,18 @@
         if self.channel is None:
             self.channel = await asyncio.open_connection(*split_address(self.node.outbound))
         reader, writer = self.channel
-        writer.write(request_bytes(method, target, {"Host": HOST, "X-Wagtailhead-Attempt-Id": attempt,
-                                                    "X-Wagtailhead-Deadline-Ms": str(int(budget_s * 1000))}, body))
-        await writer.drain()
+        message = request_bytes(method, target, {"Host": HOST, "X-Wagtailhead-Attempt-Id": attempt,
+                                                 "X-Wagtailhead-Deadline-Ms": str(int(budget_s * 1000))}, body)
+        head = len(message) - len(body)
+        await self.send(writer, message[:head], body)
         return await read_response(reader)
 
+    async def send(self, writer, head, body):
+        """Sends the head and the body of a request."""
+        writer.write(head)
+        writer.write(body)
+        await writer.drain()
+
 
 def rule(name, kind, service, timeout_s, priority=1, goal_s=1.5):
     """Returns a rule of the configuration."""
@@ -419,8 +441,8 @@
     signal.signal(signal.SIGTERM, stop)
     try:
         broken = asyncio.run(quietly(play))
-    except (CannotRun, OSError) as error:
-        print(f"could not run: {error}")
+    except Exception as error:  # pylint: disable=broad-except  # Only a finding may end with 1.
+        print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     for sentence in broken:
         print(sentence)
