fix(sidecar): a stopping node sends on only what ends before its process

Cause: the gate beside the own backend server admits only what ends in time (`admitUntil`), but the entry of callers accepted everything until the step `Refuse`, which comes when the own server is idle and at the latest at 55% of the stop time, while the process ends at 87%. A repeat, a body that came slowly, a request that had waited for its turn or for a quota token was sent on without a look at the time as well.

Ruled out: a stop that lasts too long, a broken link.

Change: `StopSequence::latestDeadline` gives the deadline that a request may have which is sent on later than 2.5 s after SIGTERM, when callers have had the time to notice: 200 ms before the end of the process. The entry compares it where a request is accepted and again where an attempt is made, so queued, repeated and uploaded requests share the check; what doesn't fit is refused with 503 and has not run. Responses that their callers read slowly may take until 95% of the stop time.

Without the check in the operation both new tests of `caller_entry` fail.

--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -45,6 +45,13 @@
         shared_.stopping_ = true;
     }
 
+    /// Refuses requests whose deadline is after `latestDeadline`, in bootNow() time, unless they have been
+    /// sent on already. They are not repeated either.
+    auto admitUntil(TimePoint latestDeadline) -> void
+    {
+        shared_.latestDeadline_ = latestDeadline;
+    }
+
     /// Answers requests whose deadline has passed. Call it about every 50 ms.
     auto tick() -> void;
 
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -255,6 +255,56 @@
     cr_assert(fixture.pool_->sent_.empty());
 }
 
+// A stopping node sent on orders whose time was longer than its own, and they were cut (review case 7).
+Test(caller_entry, a_request_that_may_outlast_the_process_is_refused)
+{
+    CallerEntryFixture fixture;
+    fixture.entry_.admitUntil(bootNow() + milliseconds(500));
+    fixture.send("POST", "/order/1");
+    const auto text = fixture.answer();
+    cr_assert(contains(text, " 503 ") && contains(text, "Retry-After: "));
+    cr_assert(fixture.pool_->sent_.empty());
+    fixture.send("POST", "/order/1", 100);
+    fixture.waitForBackend();
+}
+
+// The same for an order that was accepted before and whose backend server has rejected it since.
+Test(caller_entry, a_request_is_not_repeated_beyond_the_end_of_the_process)
+{
+    for (const bool stopping : { false, true }) {
+        CallerEntryFixture fixture;
+        const auto port = freePort(fixture.context_);
+        asio::ip::tcp::acceptor otherNode(fixture.context_, { asio::ip::make_address("127.0.0.1"), port });
+        otherNode.non_blocking(true);
+        fixture.send("POST", "/order/1");
+        fixture.waitForBackend();
+        NodeEntry other;
+        other.node_ = "other";
+        other.zone_ = "a";
+        other.region_ = "r";
+        other.service_ = "stock";
+        other.capacity_ = 100;
+        other.phase_ = BackendPhase::Ready;
+        other.generation_ = 1;
+        other.link_ = { "127.0.0.1", port };
+        fixture.directory_.apply(other);
+        if (stopping) {
+            fixture.entry_.admitUntil(bootNow() + milliseconds(300));
+        }
+        http1::Response rejected;
+        rejected.status_ = 503;
+        rejected.headers_.add("Attempt", "a1");
+        rejected.headers_.add("Not-Run", "1");
+        fixture.pool_->answer(rejected);
+        cr_expect(contains(fixture.answer(), " 503 "));
+        asio::ip::tcp::socket connected(fixture.context_);
+        asio::error_code error;
+        otherNode.accept(connected, error);
+        cr_expect(
+            bool(error) == stopping, "the order was %s", stopping ? "sent to another node" : "given up");
+    }
+}
+
 Test(caller_entry, a_lost_response_to_an_order_is_not_reported_as_not_run)
 {
     CallerEntryFixture fixture;
--- a/src/libsidecar/caller_operation.cpp
+++ b/src/libsidecar/caller_operation.cpp
@@ -194,6 +194,10 @@
     trace_.timeLeft_ = std::min(trace_.timeLeft_, route_->timeout_);
     trace_.service_ = shared_.chooseDestination_(*route_);
     deadline_ = trace_.arrived_ + trace_.timeLeft_;
+    if (!endsInTime()) {
+        refuse(gateReasonName(GateReason::Stopping));
+        return false;
+    }
     requestBytes_ = request_.body_.size();
     request_.headers_.removeHopByHop();
     request_.headers_.remove(shared_.headers_.remainingMs_);
@@ -255,6 +259,11 @@
         giveUp("no-time");
         return;
     }
+    // It may have waited, or is repeated; its response would be lost if it ran beyond the end of the process.
+    if (!endsInTime()) {
+        giveUp(gateReasonName(GateReason::Stopping));
+        return;
+    }
     auto picked = shared_.directory_.pick(trace_.service_, placementWork(), tried_, Clock::now());
     if (!picked) {
         giveUp("no-backend");
--- a/src/libsidecar/caller_operation.h
+++ b/src/libsidecar/caller_operation.h
@@ -89,6 +89,8 @@
     /// Called when the request has been answered or its caller has disconnected.
     std::function<void(const std::shared_ptr<CallerOperation>& operation)> onEnded_;
     bool stopping_ = false; ///< This node is shutting down and refuses further requests.
+    /// Requests with a later deadline are not sent on: this process may end before they do.
+    TimePoint latestDeadline_ = TimePoint::max();
 };
 
 /// Sends a request to one gate after another until there is a final response. All members run in the single
@@ -122,6 +124,11 @@
     auto onQuota(const QuotaResult& result) -> void;
     auto admit() -> void;
     auto attempt() -> void;
+    /// Returns whether this process still runs at the deadline.
+    auto endsInTime() const -> bool
+    {
+        return deadline_ <= shared_.latestDeadline_;
+    }
     auto placementWork() const -> PlacementWork;
     auto gateCall() const -> GateCall;
     auto onReply(GateReply reply) -> void;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -146,6 +146,7 @@
     bool listenerClosed_ = false;
     TimePoint configurationAdopted_;
     TimePoint stopStarted_;
+    TimePoint stopSignalled_; ///< The same in bootNow() time.
     std::optional<StopSequence> stop_; ///< Set while stopping.
     int ticks_ = 0;
 };
@@ -485,9 +486,10 @@
     logEvent(LogLevel::Info, "stopping",
         { { "requests", entry_.inFlight() }, { "backend_requests", gate_.inFlight() } });
     stopStarted_ = Clock::now();
+    stopSignalled_ = bootNow();
     stop_.emplace(settings_.stopTime_);
     callers_->startClosing();
-    gate_.admitUntil(bootNow() + stop_->lastEnd());
+    gate_.admitUntil(stopSignalled_ + stop_->lastEnd());
 }
 
 auto SidecarProcess::stopAccepting() -> void
@@ -500,8 +502,13 @@
 
 auto SidecarProcess::checkStopped() -> void
 {
+    const auto spent = Clock::now() - stopStarted_;
+    if (const auto latest = stop_->latestDeadline(spent)) {
+        entry_.admitUntil(stopSignalled_ + *latest);
+    }
     const auto requests = std::max(entry_.inFlight(), callers_->unansweredCount());
-    switch (stop_->next(Clock::now() - stopStarted_, requests, gate_.inFlight())) {
+    const bool responsesUnread = callers_->unwrittenBytes() > 0;
+    switch (stop_->next(spent, requests, gate_.inFlight(), responsesUnread)) {
     case StopStep::Serve:
         break;
     case StopStep::Drain:
--- a/src/libsidecar/stop_sequence.cpp
+++ b/src/libsidecar/stop_sequence.cpp
@@ -17,8 +17,12 @@
 /// After this part of the stop time connections are closed, even with requests in flight.
 constexpr double refusingPart = 0.8;
 constexpr double endPart = 0.87;
+/// Responses that their callers have not read whole are given until this part of the stop time.
+constexpr double readingPart = 0.95;
 /// Time for the last responses and connection closes to reach the callers.
 constexpr Duration closingTime = milliseconds(150);
+/// A request that reaches its deadline is answered within this time.
+constexpr Duration answerTime = milliseconds(200);
 
 auto partOf(Duration time, double part) -> Duration
 {
@@ -32,7 +36,16 @@
     return partOf(stopTime_, admissionPart);
 }
 
-auto StopSequence::next(Duration spent, std::size_t requests, std::size_t backendRequests) -> StopStep
+auto StopSequence::latestDeadline(Duration spent) const -> std::optional<Duration>
+{
+    if (spent <= noticeTime) {
+        return std::nullopt;
+    }
+    return partOf(stopTime_, endPart) - answerTime;
+}
+
+auto StopSequence::next(
+    Duration spent, std::size_t requests, std::size_t backendRequests, bool responsesUnread) -> StopStep
 {
     if (step_ == StopStep::Serve
         && spent > std::min(partOf(noticeTime, servingNoticePart), partOf(stopTime_, servingPart))) {
@@ -49,7 +62,8 @@
         idleSince_ = idle ? spent : Duration::max();
     }
     const bool closed = idle && spent - idleSince_ > closingTime;
-    if (step_ == StopStep::Finish && (closed || spent > partOf(stopTime_, endPart))) {
+    const auto latestEnd = partOf(stopTime_, responsesUnread ? readingPart : endPart);
+    if (step_ == StopStep::Finish && (closed || spent > latestEnd)) {
         step_ = StopStep::End;
     }
     return step_;
--- a/src/libsidecar/stop_sequence_test.cpp
+++ b/src/libsidecar/stop_sequence_test.cpp
@@ -62,3 +62,25 @@
     cr_assert(stop.next(milliseconds(5100), 0, 0) == StopStep::Finish);
     cr_assert(stop.next(milliseconds(5210), 0, 0) == StopStep::End);
 }
+
+// Orders that were sent later than 3 s after SIGTERM ran to their end, and the process had ended before their
+// responses were there (review case 7).
+Test(stop_sequence, requests_that_are_sent_on_late_end_before_the_process)
+{
+    for (const auto stopTime : { seconds(3), seconds(6), seconds(10) }) {
+        StopSequence stop(stopTime);
+        cr_expect(!stop.latestDeadline(milliseconds(2500)), "callers may not have noticed the stop");
+        const auto latest = stop.latestDeadline(milliseconds(2600));
+        cr_assert(latest.has_value());
+        cr_expect(stop.next(*latest + milliseconds(150), 1, 0) == StopStep::Finish, "after %lld s",
+            static_cast<long long>(stopTime.count()));
+    }
+}
+
+Test(stop_sequence, responses_that_are_being_read_are_not_cut)
+{
+    StopSequence stop(seconds(6));
+    cr_assert(stop.next(milliseconds(5300), 1, 0, true) == StopStep::Finish);
+    cr_assert(stop.next(milliseconds(5650), 1, 0, true) == StopStep::Finish);
+    cr_assert(stop.next(milliseconds(5750), 1, 0, true) == StopStep::End);
+}
