fix(sidecar): a report after a restart does not undo a leave that all have forgotten

Cause: without the store a leave is confirmed when another node holds it. When all nodes are killed before the store has it, the store still names the server as ready, and a restarted process took one report, which may be late, as proof that the server serves.

Ruled out: a write to the store that was lost (none was made before the kill), peers that kept the leave to themselves (none lived), another start (same id and start time).

Change: in a process that isn't the first of its node, a start of the backend server is ready once it says so itself: a health check is made at its first report, and 200 with its id counts. Without such an answer four reports over 6 s count. Confirmations come as before. A refusal of memory-only confirmations was weighed and left: a leave during an outage would never be confirmed.

--- a/src/include/wagtailhead/backend_reports.h
+++ b/src/include/wagtailhead/backend_reports.h
@@ -23,13 +23,23 @@
 enum class ReportVerdict : std::uint8_t {
     Changed, ///< The status has changed.
     Confirmed, ///< The report agrees with the status.
+    Unproven, ///< The backend server reports as ready, but evidence that it still serves is missing.
     Stale, ///< Older than the status, which stays as it is.
     Foreign, ///< About another service.
 };
 
-/// Returns "changed", "confirmed", "stale" or "foreign".
+/// Returns "changed", "confirmed", "unproven", "stale" or "foreign".
 auto reportVerdictName(ReportVerdict verdict) -> const char*;
 
+/// What it takes for a backend server to be ready.
+enum class ReadyEvidence : std::uint8_t {
+    /// One report: this process knows of all leaves that its node has confirmed.
+    Report,
+    /// The backend server's own answer, or reports that go on. A report may be delayed, and an earlier
+    /// process may have confirmed a leave that neither the store nor another node remembers.
+    AnswerOrReports,
+};
+
 /// Last reported state of the backend server of this node.
 struct BackendStatus {
     std::string id_;
@@ -46,7 +56,7 @@
 /// on reporting while the current one is quiet replaces it too. Not thread safe.
 class BackendReports {
 public:
-    explicit BackendReports(std::string service);
+    explicit BackendReports(std::string service, ReadyEvidence evidence = ReadyEvidence::Report);
 
     /// Applies a report that arrived at `now`. The leave of another start is Stale only if that start gets no
     /// requests, so a leave may be confirmed whatever the verdict.
@@ -57,6 +67,13 @@
     /// next start.
     auto restore(const NodeEntry& entry) -> void;
 
+    /// Returns whether the current start has reported as ready and evidence that it still serves is missing.
+    auto needsEvidence() const -> bool;
+
+    /// Takes the answer of a start of the backend server that it serves. Returns whether the status has
+    /// changed.
+    auto onServing(const std::string& id, std::uint64_t bornMs) -> bool;
+
     auto status() const -> const BackendStatus&
     {
         return status_;
@@ -74,6 +91,20 @@
         TimePoint firstReport_ {}; ///< Of these.
     };
 
+    /// Reports of a ready start, in order, for which there is no other evidence.
+    struct ReportRun {
+        std::string id_;
+        std::uint64_t bornMs_ = 0;
+        std::uint64_t sequence_ = 0; ///< Of the last one.
+        int reports_ = 0;
+        TimePoint firstReport_ {};
+    };
+
+    auto apply(const BackendReport& report, TimePoint now) -> ReportVerdict;
+    auto isProven() const -> bool;
+    auto setProven() -> void;
+    /// Counts a report of the current start. Returns whether the reports have gone on for long enough.
+    auto countReport(const BackendReport& report, TimePoint now) -> bool;
     auto takeCurrent(const BackendReport& report) -> ReportVerdict;
     auto takeLeave(const BackendReport& report) -> ReportVerdict;
     auto takeReady(const BackendReport& report, TimePoint now) -> ReportVerdict;
@@ -84,7 +115,11 @@
     auto replaceCurrent(const BackendReport& report) -> void;
 
     std::string service_;
+    ReadyEvidence evidence_;
     BackendStatus status_;
+    std::string provenId_; ///< The start that is known to serve.
+    std::uint64_t provenBornMs_ = 0;
+    ReportRun run_;
     std::vector<OtherStart> others_; ///< The oldest first.
 };
 
--- a/src/libsidecar/backend_reports.cpp
+++ b/src/libsidecar/backend_reports.cpp
@@ -14,7 +14,12 @@
 /// Other starts that are remembered.
 constexpr std::size_t mostOtherStarts = 8;
 
-constexpr std::array<const char*, 4> verdictNames { "changed", "confirmed", "stale", "foreign" };
+/// Without its own answer, a start counts as serving after so many reports in this time. It is longer than
+/// reports are delayed on their way.
+constexpr int reportsOfServingStart = 4;
+constexpr Duration timeOfServingStart = seconds(6);
+
+constexpr std::array<const char*, 5> verdictNames { "changed", "confirmed", "unproven", "stale", "foreign" };
 
 } // namespace
 
@@ -23,12 +28,68 @@
     return verdictNames.at(static_cast<std::size_t>(verdict));
 }
 
-BackendReports::BackendReports(std::string service)
+BackendReports::BackendReports(std::string service, ReadyEvidence evidence)
     : service_(std::move(service))
+    , evidence_(evidence)
 {
 }
 
 auto BackendReports::take(const BackendReport& report, TimePoint now) -> ReportVerdict
+{
+    const auto verdict = apply(report, now);
+    if (status_.phase_ != BackendPhase::Ready || isProven()) {
+        return verdict;
+    }
+    if (countReport(report, now)) {
+        setProven();
+        return ReportVerdict::Changed;
+    }
+    status_.phase_ = BackendPhase::Unknown;
+    return ReportVerdict::Unproven;
+}
+
+auto BackendReports::isProven() const -> bool
+{
+    return evidence_ == ReadyEvidence::Report
+        || (!provenId_.empty() && provenId_ == status_.id_ && provenBornMs_ == status_.bornMs_);
+}
+
+auto BackendReports::setProven() -> void
+{
+    provenId_ = status_.id_;
+    provenBornMs_ = status_.bornMs_;
+    run_ = {};
+}
+
+auto BackendReports::countReport(const BackendReport& report, TimePoint now) -> bool
+{
+    if (run_.id_ != status_.id_ || run_.bornMs_ != status_.bornMs_) {
+        run_ = { .id_ = status_.id_, .bornMs_ = status_.bornMs_, .firstReport_ = now };
+    }
+    if (run_.reports_ == 0 || report.sequence_ > run_.sequence_) {
+        run_.sequence_ = report.sequence_;
+        ++run_.reports_;
+    }
+    return run_.reports_ >= reportsOfServingStart && now - run_.firstReport_ >= timeOfServingStart;
+}
+
+auto BackendReports::needsEvidence() const -> bool
+{
+    return status_.phase_ == BackendPhase::Unknown && run_.reports_ > 0 && run_.id_ == status_.id_
+        && run_.bornMs_ == status_.bornMs_;
+}
+
+auto BackendReports::onServing(const std::string& id, std::uint64_t bornMs) -> bool
+{
+    if (!needsEvidence() || status_.id_ != id || status_.bornMs_ != bornMs) {
+        return false;
+    }
+    setProven();
+    status_.phase_ = BackendPhase::Ready;
+    return true;
+}
+
+auto BackendReports::apply(const BackendReport& report, TimePoint now) -> ReportVerdict
 {
     const bool withdrawal = report.phase_ == BackendPhase::Gone;
     if (!withdrawal && report.service_ != service_) {
--- a/src/libsidecar/backend_reports_test.cpp
+++ b/src/libsidecar/backend_reports_test.cpp
@@ -183,3 +183,76 @@
     cr_assert(reports.take(report("i-2", 200, 7, ready), start) == ReportVerdict::Stale);
     cr_assert(reports.status().phase_ != ready);
 }
+
+namespace {
+
+/// Reports to a process that was restarted, without a memory of what an earlier one has confirmed.
+struct RestartedNode {
+    RestartedNode()
+    {
+        NodeEntry entry;
+        entry.backendId_ = "i-1";
+        entry.backendBornMs_ = 100;
+        entry.phase_ = ready;
+        reports_.restore(entry);
+    }
+
+    auto take(std::uint64_t sequence, Duration after, BackendPhase phase = ready) -> ReportVerdict
+    {
+        return reports_.take(report("i-1", 100, sequence, phase), start + after);
+    }
+    auto phase() const -> BackendPhase
+    {
+        return reports_.status().phase_;
+    }
+
+    BackendReports reports_ { "stock", ReadyEvidence::AnswerOrReports };
+};
+
+} // namespace
+
+// A leave was confirmed while the store was away, and all nodes that knew of it were killed. A report from
+// before the leave put the backend server in use again (review case 8).
+Test(backend_reports, a_late_report_after_a_restart_does_not_undo_a_leave)
+{
+    RestartedNode node;
+    cr_assert(!node.reports_.needsEvidence(), "nothing is known about the backend server yet");
+    cr_assert(node.take(8, seconds(0)) == ReportVerdict::Unproven);
+    cr_assert(node.phase() == BackendPhase::Unknown && node.reports_.needsEvidence());
+    cr_assert(node.reports_.status().address_.port_ == 80, "it can't be asked");
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        node.take(8 + i, i * reportInterval);
+        cr_expect(node.phase() == BackendPhase::Unknown, "late report %zu", static_cast<std::size_t>(i));
+    }
+    cr_assert(node.take(0, seconds(5), withdrawn) == ReportVerdict::Changed, "it leaves once more");
+    cr_assert(!node.reports_.needsEvidence());
+    cr_assert(!node.reports_.onServing("i-1", 100) && node.phase() == withdrawn, "a late answer");
+}
+
+Test(backend_reports, a_backend_server_that_answers_is_ready_after_a_restart)
+{
+    RestartedNode node;
+    cr_assert(!node.reports_.onServing("i-1", 100), "it has not reported to this process");
+    node.take(8, seconds(0));
+    cr_assert(!node.reports_.onServing("i-1", 99) && !node.reports_.onServing("i-2", 100), "another start");
+    cr_assert(node.reports_.onServing("i-1", 100));
+    cr_assert(node.phase() == ready && !node.reports_.needsEvidence());
+    cr_assert(node.take(9, reportInterval) == ReportVerdict::Confirmed);
+    node.reports_.take(report("i-2", 200, 1, ready), start + 2 * reportInterval);
+    cr_assert(node.phase() == BackendPhase::Unknown, "a report of another start may be late as well");
+    cr_assert(node.reports_.onServing("i-2", 200) && node.phase() == ready);
+}
+
+Test(backend_reports, a_backend_server_that_goes_on_reporting_is_ready_after_a_restart)
+{
+    RestartedNode node;
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        cr_expect(node.take(8 + i, i * reportInterval) == ReportVerdict::Unproven);
+    }
+    cr_assert(node.take(11, seconds(7)) == ReportVerdict::Changed && node.phase() == ready);
+
+    RestartedNode repeated;
+    for (int i = 0; i < 8; ++i) {
+        cr_expect(repeated.take(8, i * reportInterval) == ReportVerdict::Unproven, "the same report again");
+    }
+}
--- a/src/libsidecar/gate_test_support.h
+++ b/src/libsidecar/gate_test_support.h
@@ -48,7 +48,8 @@
 
 inline auto testHeaderNames() -> HeaderNames
 {
-    return { "Attempt", "Remaining-Ms", "Target", "Caller", "Seal", "Not-Run", "Key", "Account", "Load" };
+    return { "Attempt", "Remaining-Ms", "Target", "Caller", "Seal", "Not-Run", "Key", "Account", "Load",
+        "Instance" };
 }
 
 inline auto sealedAnswer(const std::string& attempt, int status = 200) -> http1::Response
--- a/src/libsidecar/header_names.h
+++ b/src/libsidecar/header_names.h
@@ -16,6 +16,7 @@
     std::string apiKey_; ///< Of a client account; never passed on.
     std::string account_; ///< Name of the client account; set by the entry only.
     std::string load_; ///< Running, waiting and slots, separated by commas.
+    std::string instanceId_; ///< On answers to health checks: the id of the backend server.
 };
 
 } // namespace wagtailhead
--- a/src/libsidecar/report_server.cpp
+++ b/src/libsidecar/report_server.cpp
@@ -115,7 +115,7 @@
         });
         return;
     }
-    if (verdict == ReportVerdict::Changed) {
+    if (verdict == ReportVerdict::Changed || verdict == ReportVerdict::Unproven) {
         parts_.onChanged_(nullptr);
     }
     exchange->respond(parts_.answer_());
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -1,6 +1,7 @@
 #include "wagtailhead/sidecar.h"
 
 #include "caller_entry.h"
+#include "health_check.h"
 #include "link_server.h"
 #include "node_gauges.h"
 #include "report_server.h"
@@ -100,6 +101,8 @@
     /// Takes changes of the configuration and of the membership into the quotas.
     auto refreshQuotas() -> void;
     auto onBackendStatus() -> void;
+    /// Returns the path of the backend server's health check; empty without a configuration that names it.
+    auto healthPath() const -> std::string;
     auto onLinkLost(const std::string& node, bool wasOpen) -> void;
     auto onReadinessRequest(const http1::Request& request, const std::shared_ptr<http1::Exchange>& exchange)
         -> void;
@@ -127,6 +130,7 @@
     Directory directory_;
     BackendReports reports_;
     std::shared_ptr<http1::Pool> backendPool_;
+    HealthCheck healthCheck_;
     RequestMetrics metrics_;
     Gate gate_;
     LinkClient links_;
@@ -160,8 +164,17 @@
     , timer_(context_)
     , spreadTimer_(context_)
     , directory_({ settings_.node_, settings_.zone_, settings_.region_, settings_.seed_ })
-    , reports_(settings_.service_)
+    , reports_(
+          settings_.service_, settings_.firstStart_ ? ReadyEvidence::Report : ReadyEvidence::AnswerOrReports)
     , backendPool_(http1::Pool::create(context_, backendPoolOptions(settings_, headers_)))
+    , healthCheck_({ backendPool_, headers_, reports_,
+          [this] {
+              return healthPath();
+          },
+          [this] {
+              onBackendStatus();
+              siteState_->publish(nullptr);
+          } })
     , gate_({ .service_ = settings_.service_, .headers_ = headers_ }, backendPool_, metrics_)
     , links_(context_, linkEvents())
     , quota_({ { settings_.node_, settings_.zone_, settings_.region_ }, settings_.seed_ + 3,
@@ -408,6 +421,14 @@
             { "sequence", status.sequence_ } });
     gate_.setInstance({ status.id_, status.bornMs_,
         status.address_.port_ == 0 ? settings_.backend_ : status.address_, status.capacity_, status.phase_ });
+    healthCheck_.tick(Clock::now());
+}
+
+auto SidecarProcess::healthPath() const -> std::string
+{
+    const auto& configuration = siteState_->configuration();
+    const auto* service = configuration ? configuration->service(settings_.service_) : nullptr;
+    return service != nullptr ? service->healthPath_ : std::string();
 }
 
 auto SidecarProcess::onLinkLost(const std::string& node, bool wasOpen) -> void
@@ -605,6 +626,7 @@
         spreadLevels();
         gate_.tick();
         backendPool_->tick(now);
+        healthCheck_.tick(now);
         links_.tick(now);
         for (const auto& entry : directory_.takeDueProbes(now)) {
             links_.connect(entry);
--- a/testsuite/soak/backend_standin.py
+++ b/testsuite/soak/backend_standin.py
@@ -11,6 +11,7 @@
 REPORT_INTERVAL_S = 1.0
 DRAIN_S = 2.5
 CALL_TIMEOUT_S = 0.7
+HEALTH_PATH = "/health"
 
 
 class Backend:
@@ -138,6 +139,10 @@
 
     async def handle(self, request, reader, writer):
         """Answers one request. Returns whether the connection goes on."""
+        if request.target == HEALTH_PATH:
+            status = 200 if self.state == "ready" else 503
+            writer.write(response_bytes(status, {"X-Wagtailhead-Instance-Id": self.id}))
+            return True
         attempt = request.headers.get("x-wagtailhead-attempt-id", "")
         wanted = request.headers.get("x-wagtailhead-target-instance", self.id)
         reason = self.why_not(attempt, wanted)
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -21,7 +21,8 @@
         seeds = [line.split()[0] for line in lines if line.strip() and not line.startswith("#")]
     runs = [["--seed", seed] for seed in ["1"] + seeds]
     runs += [["--faults", "store_lapse", "--fault-pause", "7"],
-             ["--faults", "backend_set_back,unwritten_leave", "--fault-pause", "3"]]
+             ["--faults", "backend_set_back,unwritten_leave", "--fault-pause", "3"],
+             ["--faults", "forgotten_leave", "--fault-pause", "12"]]
     return max(soak.main(SHORT + run) for run in runs)
 
 
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -35,6 +35,7 @@
             (1, "store_429", store("refused_share", 0.7)), (1, "store_forgets", self.store_forgets),
             (1, "store_lapse", self.store_lapse), (2, "store_cut", node(self.store_cut)), (3, "config", self.config), (1, "config_storm", self.config_storm),
             (1, "callers_leave", self.callers_leave),
+            (0, "forgotten_leave", node(self.forgotten_leave)),  # Only by name.
         ]
 
     async def run(self, until, pause_s):
@@ -60,7 +61,7 @@
         known = {name for _, name, _ in self.kinds}
         if not names or not known.issuperset(names):
             raise ValueError(f"faults are {', '.join(sorted(known))}")
-        self.kinds = [kind for kind in self.kinds if kind[1] in names]
+        self.kinds = [(max(weight, 1), name, play) for weight, name, play in self.kinds if name in names]
 
     def on_node(self, play):
         """Returns a fault of one machine that is not busy with another one of its process."""
@@ -209,6 +210,35 @@
         for disturbance in disturbances:
             disturbance.end = now()
 
+    async def forgotten_leave(self, machine, luck):
+        """A leave is confirmed while the store is away, and all nodes that know of it are killed. Reports from before the
+        leave arrive after that."""
+        disturbances = [self.world.record.begin(kind, node) for kind, node in
+                        (("store", ""), ("kill", ""), ("leave", machine.name))]
+        leaving, store = machine.backend, self.world.store
+        others = [each for each in self.world.machines if each.name not in self.world.busy]
+        self.world.busy.update(each.name for each in others)
+        store.down = luck.choice(("busy", "silent", "reset"))
+        late_s = luck.uniform(3, 5)
+        for _ in range(3):
+            leaving.spawn(leaving.late_report(late_s))
+            await asyncio.sleep(luck.uniform(0.1, 0.7))
+        leaving.spawn(leaving.leave_and_stay())
+        await asyncio.sleep(luck.uniform(0.8, 1.5))
+        await asyncio.gather(*(each.end(signal.SIGKILL, 2) for each in [machine] + others))
+        if luck.random() < 0.5:
+            store.down = ""
+        await asyncio.sleep(luck.uniform(0.1, 0.8))
+        for each in [machine] + others:
+            each.start()
+        store.down = ""
+        self.world.busy.difference_update(each.name for each in others)
+        await asyncio.sleep(luck.uniform(6, 9))
+        leaving.crash()
+        await machine.start_backend(self.world.site, self.world.record)
+        for disturbance in disturbances:
+            disturbance.end = now()
+
     async def link_reset(self, machine, luck):
         """Open links to a machine are reset."""
         disturbance = self.world.record.begin("link")
