fix(links): a link gives back the memory of its longest frame

Cause: `FrameStream` writes from two buffers that are exchanged for each write; clearing one keeps its capacity as long as the link is open, and no budget counts it.

Ruled out: the budgets of callers' bodies, which were kept; the input buffer, which is given back.

Change: a buffer of more than 64 KiB is given back after its write.

--- a/src/libsidecar/frame_stream.cpp
+++ b/src/libsidecar/frame_stream.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t readBytes = 65536;
+/// Buffers of up to this size are kept for the next frames.
+constexpr std::size_t keptBytes = 65536;
 
 /// Each read is handled at once, so one buffer serves all streams of the thread.
 auto readBuffer() -> std::array<char, readBytes>&
@@ -76,7 +78,7 @@
     }
     if (!closed_) {
         input_.erase(0, input_.size() - rest.size());
-        if (input_.empty() && input_.capacity() > readBytes) {
+        if (input_.empty() && input_.capacity() > keptBytes) {
             input_.shrink_to_fit();
         }
     }
@@ -112,7 +114,7 @@
     asio::error_code error;
     const auto size = socket_.write_some(asio::buffer(writing_), error);
     if (!error && size == writing_.size()) {
-        writing_.clear();
+        afterWrite();
         return;
     }
     if (error && error != asio::error::would_block && error != asio::error::try_again) {
@@ -121,7 +123,7 @@
     }
     asio::async_write(socket_, asio::buffer(writing_.data() + size, writing_.size() - size),
         [self = shared_from_this()](const asio::error_code& failed, std::size_t) {
-            self->writing_.clear();
+            self->afterWrite();
             if (failed) {
                 self->fail(failed.message());
             } else {
@@ -130,6 +132,15 @@
         });
 }
 
+auto FrameStream::afterWrite() -> void
+{
+    writing_.clear();
+    // Clearing keeps the memory. A link would hold that of its longest frame as long as it is open.
+    if (writing_.capacity() > keptBytes) {
+        writing_.shrink_to_fit();
+    }
+}
+
 auto FrameStream::fail(const std::string& reason) -> void
 {
     if (closed_) {
--- a/src/libsidecar/frame_stream.h
+++ b/src/libsidecar/frame_stream.h
@@ -36,12 +36,18 @@
     {
         return queued_.size() + writing_.size();
     }
+    /// Returns the memory of the buffers, whether it is in use or kept.
+    auto bufferBytes() const -> std::size_t
+    {
+        return input_.capacity() + queued_.capacity() + writing_.capacity();
+    }
 
 private:
     auto read() -> void;
     auto handleBytes(std::size_t size) -> void;
     auto flush() -> void;
     auto write() -> void;
+    auto afterWrite() -> void;
     auto fail(const std::string& reason) -> void;
 
     asio::ip::tcp::socket socket_;
--- /dev/null
+++ b/src/libsidecar/frame_stream_test.cpp
@@ -0,0 +1,47 @@
+/// Tests of the buffers of a link over a connection on loopback.
+#include "frame_stream.h"
+
+#include <asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+using namespace wagtailhead;
+
+// Each link kept the memory of its longest frame as long as it was open; uploads of 20 MB to some nodes took
+// the process over its memory (review case 6).
+Test(frame_stream, gives_back_the_memory_of_a_long_frame)
+{
+    constexpr std::size_t bodyBytes = 8000000;
+    constexpr std::size_t mostKept = 262144;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket client(context);
+    client.connect(acceptor.local_endpoint());
+    const auto sender = std::make_shared<FrameStream>(std::move(client));
+    const auto receiver = std::make_shared<FrameStream>(acceptor.accept());
+    sender->start({});
+    std::size_t received = 0;
+    receiver->start({ [&](const Frame& frame) {
+                         if (const auto* state = std::get_if<StateFrame>(&frame)) {
+                             received = state->config_.size();
+                         }
+                     },
+        nullptr });
+    for (const std::size_t bytes : { bodyBytes, bodyBytes / 2, std::size_t { 100 } }) {
+        StateFrame state;
+        state.config_.assign(bytes, 'y');
+        sender->send(state);
+        const auto end = Clock::now() + seconds(5);
+        while (received != bytes && Clock::now() < end) {
+            context.run_for(milliseconds(5));
+            context.restart();
+        }
+        cr_assert(received == bytes);
+        context.run_for(milliseconds(5));
+        context.restart();
+        cr_expect(sender->bufferBytes() < mostKept, "sender keeps %zu", sender->bufferBytes());
+        cr_expect(receiver->bufferBytes() < mostKept, "receiver keeps %zu", receiver->bufferBytes());
+    }
+    sender->close();
+    receiver->close();
+    context.run_for(milliseconds(5));
+}
