fix(http1): what callers send ahead is bounded over all connections

Cause: bytes that were not read as requests yet (64 KiB) and requests that ran side by side (32) were bounded for each connection only.

Change: both are charged to one budget of a sixteenth of the memory, a request with 4 KiB. Without room a connection is read, and its next request starts, only when the ones before have been answered; the first request of a connection needs no room, so none waits for another connection. Nothing is refused or closed for it. While the budget is full, the end of a caller is noticed only with its next response. The gauge wagtailhead_caller_request_bytes gets the size "ahead".

The new test fails without the bound (256 requests side by side).

--- a/src/libhttp1/http1_connection.cpp
+++ b/src/libhttp1/http1_connection.cpp
@@ -13,6 +13,9 @@
 
 /// Bytes that a caller may send ahead of what is read as requests; beyond it the socket is not read.
 constexpr std::size_t maxPendingBytes = 65536;
+/// A connection that is due to read a request reads so much even if the budget of bytes read ahead is used
+/// up.
+constexpr std::size_t leastRead = 2048;
 /// No further request of a connection starts while its caller has left so much unread.
 constexpr std::size_t maxUnreadBytes = 262144;
 /// Longer requests share a budget of their own, so that ordinary ones do not starve beside them.
@@ -49,7 +52,7 @@
 
 auto Connection::waitReadable() -> void
 {
-    if (waiting_ || phase_ == Phase::Closed || pending_.size() >= maxPendingBytes) {
+    if (waiting_ || phase_ == Phase::Closed || readableBytes() == 0) {
         return;
     }
     waiting_ = true;
@@ -62,14 +65,41 @@
         });
 }
 
+auto Connection::readableBytes() const -> std::size_t
+{
+    if (phase_ != Phase::Open) {
+        return listener_->buffer_.size(); // It is dropped.
+    }
+    const auto room = listener_->readAhead_->room();
+    if (pending_.empty() && mayTakeRequest()) {
+        return std::clamp(room, leastRead, listener_->buffer_.size());
+    }
+    // Reading on tells when the caller closes the connection. The socket is read again after the next
+    // response.
+    return std::min(maxPendingBytes - std::min(pending_.size(), maxPendingBytes), room);
+}
+
+auto Connection::chargePending() -> void
+{
+    if (pending_.empty()) {
+        std::string().swap(pending_);
+        pendingCharge_ = {};
+        return;
+    }
+    if (pendingCharge_.bytes() == 0) {
+        pendingCharge_ = MemoryCharge(listener_->readAhead_);
+    }
+    // If it does not fit, it is the little that a connection reads in any case.
+    pendingCharge_.tryResize(pending_.capacity());
+}
+
 auto Connection::onReadable() -> void
 {
-    if (phase_ == Phase::Closed) {
+    const auto most = readableBytes();
+    if (phase_ == Phase::Closed || most == 0) {
         return;
     }
     asio::error_code error;
-    const auto most = phase_ == Phase::Open && !pending_.empty() ? maxPendingBytes - pending_.size()
-                                                                 : listener_->buffer_.size();
     const auto size = socket_.read_some(asio::buffer(listener_->buffer_, most), error);
     if (error == asio::error::would_block || error == asio::error::try_again) {
         waitReadable();
@@ -85,6 +115,7 @@
             take(bytes);
         } else {
             pending_.append(bytes);
+            chargePending();
         }
     }
     waitReadable();
@@ -92,7 +123,7 @@
 
 auto Connection::take(std::string_view bytes) -> void
 {
-    while (!bytes.empty() && phase_ == Phase::Open && pipeline_.hasRoom()) {
+    while (!bytes.empty() && phase_ == Phase::Open && mayTakeRequest()) {
         if (reader_.state() == ReadState::Empty) {
             readStart_ = Clock::now();
         }
@@ -123,6 +154,7 @@
     }
     if (pipeline_.takesMore()) {
         pending_.append(bytes);
+        chargePending();
     }
     startRequests();
 }
@@ -169,6 +201,7 @@
     charge_ = {};
     chargedBudget_ = nullptr;
     std::string().swap(pending_);
+    pendingCharge_ = {};
 }
 
 auto Connection::refuseUnread() -> void
@@ -203,8 +236,10 @@
 
 auto Connection::takePending() -> void
 {
-    if (!pending_.empty() && pipeline_.hasRoom()) {
-        take(std::exchange(pending_, {}));
+    if (!pending_.empty() && mayTakeRequest()) {
+        const auto bytes = std::exchange(pending_, {});
+        pendingCharge_ = {};
+        take(bytes);
     }
 }
 
@@ -217,7 +252,12 @@
     reader_.setLimits(listener_->limits_.read_);
     readStart_ = Clock::now();
     const bool overlaps = listener_->overlaps_ && listener_->overlaps_(request);
-    pipeline_.add(std::move(request), overlaps);
+    MemoryCharge ahead;
+    if (!pipeline_.isEmpty()) {
+        ahead = MemoryCharge(listener_->readAhead_);
+        ahead.tryResize(aheadRequestBytes);
+    }
+    pipeline_.add(std::move(request), overlaps, std::move(ahead));
 }
 
 auto Connection::startRequests() -> void
--- a/src/libhttp1/http1_connection.h
+++ b/src/libhttp1/http1_connection.h
@@ -17,6 +17,7 @@
     std::size_t maxConnections_ = 0; ///< 0 for no limit.
     std::shared_ptr<MemoryBudget> smallMessages_ = std::make_shared<MemoryBudget>(0);
     std::shared_ptr<MemoryBudget> largeMessages_ = std::make_shared<MemoryBudget>(0);
+    std::shared_ptr<MemoryBudget> readAhead_ = std::make_shared<MemoryBudget>(0);
     ListenerStats stats_;
     TimePoint nextBoundLog_;
     bool closing_ = false;
@@ -26,6 +27,9 @@
     std::array<char, 65536> buffer_ {};
 };
 
+/// Memory for a request that runs beside others of its connection, or waits for them.
+constexpr std::size_t aheadRequestBytes = 4096;
+
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
     Connection(asio::ip::tcp::socket socket, std::shared_ptr<ListenerState> listener);
@@ -65,6 +69,16 @@
 
     auto waitReadable() -> void;
     auto onReadable() -> void;
+    /// Returns whether another request may be read.
+    auto mayTakeRequest() const -> bool
+    {
+        return pipeline_.hasRoom()
+            && (pipeline_.isEmpty() || listener_->readAhead_->hasRoom(aheadRequestBytes));
+    }
+    /// Returns how many bytes may be read from the socket now.
+    auto readableBytes() const -> std::size_t;
+    /// Charges what is held in pending_.
+    auto chargePending() -> void;
     /// Reads requests from the bytes as long as more may be read, and keeps the rest.
     auto take(std::string_view bytes) -> void;
     auto takePending() -> void;
@@ -99,6 +113,7 @@
     MemoryCharge charge_; ///< For the message that is being read.
     Phase phase_ = Phase::Open;
     std::string pending_; ///< Bytes that are not read as requests yet.
+    MemoryCharge pendingCharge_; ///< For these.
     std::string
         output_; ///< Responses that are being written, the last one without its body if that is large.
     std::string outputBody_; ///< That body.
--- a/src/libhttp1/http1_listener.cpp
+++ b/src/libhttp1/http1_listener.cpp
@@ -64,12 +64,14 @@
         state_->maxConnections_ = bounds.connections_;
         state_->smallMessages_ = std::make_shared<MemoryBudget>(bounds.smallMessageBytes_);
         state_->largeMessages_ = std::make_shared<MemoryBudget>(bounds.largeMessageBytes_);
+        state_->readAhead_ = std::make_shared<MemoryBudget>(bounds.readAheadBytes_);
     }
     auto stats() const -> ListenerStats override
     {
         auto stats = state_->stats_;
         stats.smallMessageBytes_ = state_->smallMessages_->used();
         stats.largeMessageBytes_ = state_->largeMessages_->used();
+        stats.readAheadBytes_ = state_->readAhead_->used();
         return stats;
     }
 
--- a/src/libhttp1/http1_listener.h
+++ b/src/libhttp1/http1_listener.h
@@ -26,6 +26,7 @@
     std::size_t connections_ = 0;
     std::size_t smallMessageBytes_ = 0; ///< Of requests of up to 64 KiB that are being read or run.
     std::size_t largeMessageBytes_ = 0; ///< Of longer ones.
+    std::size_t readAheadBytes_ = 0; ///< Of what has been received and is not read as requests yet.
 };
 
 struct ListenerStats {
@@ -33,6 +34,7 @@
     std::uint64_t closedForRoom_ = 0; ///< Connections without a request, closed for new ones.
     std::size_t smallMessageBytes_ = 0; ///< Held now.
     std::size_t largeMessageBytes_ = 0;
+    std::size_t readAheadBytes_ = 0;
 };
 
 /// The caller's side of one request. Answer exactly once.
@@ -73,6 +75,7 @@
     /// Sets the bounds for all callers together. Beyond those on bytes the request that has held most bytes
     /// for the longest time without having been read whole is answered 503. Beyond that on connections the
     /// one that has waited longest for a request is closed, and if there is none, no connection is accepted.
+    /// Beyond that on bytes that are read ahead, connections are read only as their requests are answered.
     virtual auto setBounds(const ListenerBounds& bounds) -> void = 0;
 
     virtual auto stats() const -> ListenerStats = 0;
--- a/src/libhttp1/http1_network_test.cpp
+++ b/src/libhttp1/http1_network_test.cpp
@@ -811,3 +811,55 @@
     }));
     cr_assert(text.find("/1") < text.find("/2") && text.find("/2") < text.find("/3"), "%s", text.c_str());
 }
+
+// Some thousand callers that sent requests ahead took the process over its memory (review case 10): neither
+// the bytes read ahead nor the requests that ran side by side were bounded over all connections.
+Test(http1_listener, requests_sent_ahead_are_bounded_over_all_connections)
+{
+    constexpr std::size_t mostAhead = 16384;
+    constexpr int callers = 8;
+    constexpr int requestsOfEach = 40;
+    asio::io_context context;
+    std::vector<std::shared_ptr<Exchange>> running;
+    asio::ip::tcp::acceptor probe(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto port = probe.local_endpoint().port();
+    probe.close();
+    auto opened = Listener::open(
+        context, { "127.0.0.1", port }, {}, [&](const Request&, std::shared_ptr<Exchange> exchange) {
+            running.push_back(std::move(exchange));
+        });
+    const auto listener = valueOf(std::move(opened));
+    listener->setBounds({ .readAheadBytes_ = mostAhead });
+    listener->setOverlap([](const Request&) {
+        return true;
+    });
+    std::string requests;
+    for (int i = 0; i < requestsOfEach; ++i) {
+        requests += "GET /x HTTP/1.1\r\nHost: h\r\nFill: " + std::string(500, 'f') + "\r\n\r\n";
+    }
+    std::vector<asio::ip::tcp::socket> clients;
+    for (int i = 0; i < callers; ++i) {
+        clients.emplace_back(context);
+        clients.back().connect({ asio::ip::make_address("127.0.0.1"), port });
+        asio::write(clients.back(), asio::buffer(requests));
+        clients.back().non_blocking(true);
+    }
+    std::size_t answered = 0;
+    std::size_t mostRunning = 0;
+    const auto end = Clock::now() + patience;
+    while (answered < std::size_t { callers } * requestsOfEach && Clock::now() < end) {
+        context.run_for(milliseconds(5));
+        context.restart();
+        mostRunning = std::max(mostRunning, running.size());
+        cr_expect(listener->stats().readAheadBytes_ <= mostAhead);
+        for (const auto& exchange : std::exchange(running, {})) {
+            Response response;
+            response.status_ = 200;
+            exchange->respond(std::move(response));
+            ++answered;
+        }
+    }
+    cr_assert(answered == std::size_t { callers } * requestsOfEach, "%zu answered", answered);
+    cr_assert(mostRunning <= callers + mostAhead / 4096, "%zu ran side by side", mostRunning);
+    cr_assert(listener->stats().readAheadBytes_ == 0, "%zu are left", listener->stats().readAheadBytes_);
+}
--- a/src/libhttp1/request_pipeline.cpp
+++ b/src/libhttp1/request_pipeline.cpp
@@ -16,9 +16,10 @@
         && (slots_.empty() || (slots_.size() < limits_.requests_ && unstartedBytes_ < limits_.bytes_));
 }
 
-auto RequestPipeline::add(Request request, bool overlaps) -> void
+auto RequestPipeline::add(Request request, bool overlaps, MemoryCharge charge) -> void
 {
     Slot slot;
+    slot.charge_ = std::move(charge);
     slot.id_ = ++lastId_;
     slot.overlaps_ = overlaps;
     slot.keepAlive_ = request.keepAlive_;
--- a/src/libhttp1/request_pipeline.h
+++ b/src/libhttp1/request_pipeline.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http1_message.h"
+#include "memory_budget.h"
 
 #include <cstdint>
 #include <deque>
@@ -44,9 +45,9 @@
     /// Returns whether another request may be read.
     auto hasRoom() const -> bool;
 
-    /// Takes a request that has been read. `overlaps` says that it may run beside others. Precondition:
-    /// hasRoom().
-    auto add(Request request, bool overlaps) -> void;
+    /// Takes a request that has been read. `overlaps` says that it may run beside others. `charge` is held
+    /// until its response is taken. Precondition: hasRoom().
+    auto add(Request request, bool overlaps, MemoryCharge charge = {}) -> void;
 
     /// Takes a response of the connection itself, for example to a malformed request. It is the last one.
     auto addFinal(Response response) -> void;
@@ -103,6 +104,7 @@
         Request request_;
         Response response_;
         std::function<void()> gone_;
+        MemoryCharge charge_;
         bool overlaps_ = false;
         bool keepAlive_ = true;
         bool toHead_ = false;
--- a/src/libmemory/memory_budget.h
+++ b/src/libmemory/memory_budget.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -24,6 +25,14 @@
     {
         return limit_ == 0 || (used_ <= limit_ && bytes <= limit_ - used_);
     }
+    /// Returns how many more bytes fit; the largest number if there is no limit.
+    auto room() const -> std::size_t
+    {
+        if (limit_ == 0) {
+            return std::numeric_limits<std::size_t>::max();
+        }
+        return used_ < limit_ ? limit_ - used_ : 0;
+    }
     auto limit() const -> std::size_t
     {
         return limit_;
--- a/src/libsidecar/node_gauges.cpp
+++ b/src/libsidecar/node_gauges.cpp
@@ -67,6 +67,8 @@
         static_cast<double>(now.callerBounds_.smallMessageBytes_), { { "size", "small" } });
     set({ "wagtailhead_caller_request_bytes", "Memory of requests that are being read or run." },
         static_cast<double>(now.callerBounds_.largeMessageBytes_), { { "size", "large" } });
+    set({ "wagtailhead_caller_request_bytes", "Memory of requests that are being read or run." },
+        static_cast<double>(now.callerBounds_.readAheadBytes_), { { "size", "ahead" } });
     set({ "wagtailhead_caller_refused_for_memory", "Requests refused while they were read since the start." },
         static_cast<double>(now.callerBounds_.refusedForMemory_));
     set({ "wagtailhead_caller_closed_for_room",
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -67,7 +67,8 @@
         = static_cast<std::size_t>(static_cast<double>(settings.sockets_) * callerSocketShare),
         .smallMessageBytes_ = settings.memoryBytes_ / smallMessageDivisor,
         .largeMessageBytes_
-        = static_cast<std::size_t>(static_cast<double>(settings.memoryBytes_) * largeMessageShare) };
+        = static_cast<std::size_t>(static_cast<double>(settings.memoryBytes_) * largeMessageShare),
+        .readAheadBytes_ = settings.memoryBytes_ / smallMessageDivisor };
 }
 
 auto backendPoolOptions(const SidecarSettings& settings, const HeaderNames& headers) -> http1::PoolOptions
