--- a/src/include/wagtailhead/backend_reports.h
+++ b/src/include/wagtailhead/backend_reports.h
@@ -33,7 +33,7 @@
 
 /// What it takes for a backend server to be ready.
 enum class ReadyEvidence : std::uint8_t {
-    /// One report: this process knows of all leaves that its node has confirmed.
+    /// One report, for the first process of a node: all leaves that the node has confirmed are in its memory.
     Report,
     /// The backend server's own answer, or reports that go on. A report may be delayed, and an earlier
     /// process may have confirmed a leave that neither the store nor another node remembers.
--- a/src/libhttp1/http1_connection.cpp
+++ b/src/libhttp1/http1_connection.cpp
@@ -74,8 +74,8 @@
     if (pending_.empty() && mayTakeRequest()) {
         return std::clamp(room, leastRead, listener_->buffer_.size());
     }
-    // Reading on tells when the caller closes the connection. The socket is read again after the next
-    // response.
+    // Read ahead, since only reading detects that the caller closes the connection. Without room the socket
+    // is read again after the next response.
     return std::min(maxPendingBytes - std::min(pending_.size(), maxPendingBytes), room);
 }
 
