--- a/src/libsidecar/backend_reports.cpp
+++ b/src/libsidecar/backend_reports.cpp
@@ -14,8 +14,8 @@
 /// Other starts that are remembered.
 constexpr std::size_t mostOtherStarts = 8;
 
-/// Without its own answer, a start counts as serving after so many reports in this time. Reports from before a
-/// leave that are delayed on their way are fewer, or arrive closer together.
+/// Without its own answer, a start counts as serving after so many reports in this time. Reports from before
+/// a leave that are delayed on their way are fewer, or arrive closer together.
 constexpr int reportsOfServingStart = 4;
 constexpr Duration timeOfServingStart = seconds(6);
 
