fix(sidecar): reports that are all late after a restart do not undo a leave

Cause: without an answer to its health check a backend server counted as serving after four reports over 6 s. Reports that were made before the leave and are all late by 7.5 s or more go on for as long after the restart.

Ruled out: the health check, which the stand-in answers with 503 once it has left; a leave that another node still held, as all had been killed.

Change: a report counts if it arrives 10 s or more after the start of the process and is newer than those before it. Reports are late by seconds, so it was made after all leaves that an earlier process can have confirmed. It needs no counting of reports, and later starts of the backend server need no proof of their own any more. A server that answers its health check is used at once, as before.

--- a/src/include/wagtailhead/backend_reports.h
+++ b/src/include/wagtailhead/backend_reports.h
@@ -3,6 +3,7 @@
 
 #include "wagtailhead/directory.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,9 +36,11 @@
 enum class ReadyEvidence : std::uint8_t {
     /// One report, for the first process of a node: all leaves that the node has confirmed are in its memory.
     Report,
-    /// The backend server's own answer, or reports that go on. A report may be delayed, and an earlier
-    /// process may have confirmed a leave that neither the store nor another node remembers.
-    AnswerOrReports,
+    /// The backend server's own answer, or a report that comes too long after the start of the process to be
+    /// from before it. A report may be delayed, and an earlier process may have confirmed a leave that
+    /// neither
+    /// the store nor another node remembers.
+    AnswerOrLaterReport,
 };
 
 /// Last reported state of the backend server of this node.
@@ -56,7 +59,9 @@
 /// on reporting while the current one is quiet replaces it too. Not thread safe.
 class BackendReports {
 public:
-    explicit BackendReports(std::string service, ReadyEvidence evidence = ReadyEvidence::Report);
+    /// `started` is the time at which this process started; it is used for AnswerOrLaterReport only.
+    explicit BackendReports(
+        std::string service, ReadyEvidence evidence = ReadyEvidence::Report, TimePoint started = {});
 
     /// Applies a report that arrived at `now`. The leave of another start is Stale only if that start gets no
     /// requests, so a leave may be confirmed whatever the verdict.
@@ -91,20 +96,18 @@
         TimePoint firstReport_ {}; ///< Of these.
     };
 
-    /// Reports of a ready start, in order, for which there is no other evidence.
-    struct ReportRun {
+    /// Reports of a ready start for which there is no other evidence.
+    struct UnprovenStart {
         std::string id_;
         std::uint64_t bornMs_ = 0;
-        std::uint64_t sequence_ = 0; ///< Of the last one.
-        int reports_ = 0;
-        TimePoint firstReport_ {};
+        std::uint64_t sequence_ = 0; ///< The greatest one.
     };
 
     auto apply(const BackendReport& report, TimePoint now) -> ReportVerdict;
     auto isProven() const -> bool;
     auto setProven() -> void;
-    /// Counts a report of the current start. Returns whether the reports have gone on for long enough.
-    auto countReport(const BackendReport& report, TimePoint now) -> bool;
+    /// Returns whether a report of the current start was made after the process started.
+    auto isMadeSinceRestart(const BackendReport& report, TimePoint now) -> bool;
     auto takeCurrent(const BackendReport& report) -> ReportVerdict;
     auto takeLeave(const BackendReport& report) -> ReportVerdict;
     auto takeReady(const BackendReport& report, TimePoint now) -> ReportVerdict;
@@ -116,10 +119,11 @@
 
     std::string service_;
     ReadyEvidence evidence_;
+    TimePoint started_;
     BackendStatus status_;
     std::string provenId_; ///< The start that is known to serve.
     std::uint64_t provenBornMs_ = 0;
-    ReportRun run_;
+    std::optional<UnprovenStart> unproven_; ///< The current start, as long as evidence is missing.
     std::vector<OtherStart> others_; ///< The oldest first.
 };
 
--- a/src/libsidecar/backend_reports.cpp
+++ b/src/libsidecar/backend_reports.cpp
@@ -14,10 +14,9 @@
 /// Other starts that are remembered.
 constexpr std::size_t mostOtherStarts = 8;
 
-/// Without its own answer, a start counts as serving after so many reports in this time. Reports from before
-/// a leave that are delayed on their way are fewer, or arrive closer together.
-constexpr int reportsOfServingStart = 4;
-constexpr Duration timeOfServingStart = seconds(6);
+/// A report that arrives this long after the start of the process was made after it. Reports may be delayed
+/// by seconds.
+constexpr Duration longestReportDelay = seconds(10);
 
 constexpr std::array<const char*, 5> verdictNames { "changed", "confirmed", "unproven", "stale", "foreign" };
 
@@ -28,9 +27,10 @@
     return verdictNames.at(static_cast<std::size_t>(verdict));
 }
 
-BackendReports::BackendReports(std::string service, ReadyEvidence evidence)
+BackendReports::BackendReports(std::string service, ReadyEvidence evidence, TimePoint started)
     : service_(std::move(service))
     , evidence_(evidence)
+    , started_(started)
 {
 }
 
@@ -40,7 +40,7 @@
     if (status_.phase_ != BackendPhase::Ready || isProven()) {
         return verdict;
     }
-    if (countReport(report, now)) {
+    if (isMadeSinceRestart(report, now)) {
         setProven();
         return ReportVerdict::Changed;
     }
@@ -58,25 +58,24 @@
 {
     provenId_ = status_.id_;
     provenBornMs_ = status_.bornMs_;
-    run_ = {};
+    unproven_.reset();
 }
 
-auto BackendReports::countReport(const BackendReport& report, TimePoint now) -> bool
+auto BackendReports::isMadeSinceRestart(const BackendReport& report, TimePoint now) -> bool
 {
-    if (run_.id_ != status_.id_ || run_.bornMs_ != status_.bornMs_) {
-        run_ = { .id_ = status_.id_, .bornMs_ = status_.bornMs_, .firstReport_ = now };
+    if (!unproven_ || unproven_->id_ != status_.id_ || unproven_->bornMs_ != status_.bornMs_) {
+        unproven_ = UnprovenStart { status_.id_, status_.bornMs_, 0 };
     }
-    if (run_.reports_ == 0 || report.sequence_ > run_.sequence_) {
-        run_.sequence_ = report.sequence_;
-        ++run_.reports_;
-    }
-    return run_.reports_ >= reportsOfServingStart && now - run_.firstReport_ >= timeOfServingStart;
+    // The same report once more may have been delayed for longer.
+    const bool isNew = report.sequence_ > unproven_->sequence_;
+    unproven_->sequence_ = std::max(unproven_->sequence_, report.sequence_);
+    return isNew && now - started_ >= longestReportDelay;
 }
 
 auto BackendReports::needsEvidence() const -> bool
 {
-    return status_.phase_ == BackendPhase::Unknown && run_.reports_ > 0 && run_.id_ == status_.id_
-        && run_.bornMs_ == status_.bornMs_;
+    return status_.phase_ == BackendPhase::Unknown && unproven_ && unproven_->id_ == status_.id_
+        && unproven_->bornMs_ == status_.bornMs_;
 }
 
 auto BackendReports::onServing(const std::string& id, std::uint64_t bornMs) -> bool
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -165,8 +165,8 @@
     , timer_(context_)
     , spreadTimer_(context_)
     , directory_({ settings_.node_, settings_.zone_, settings_.region_, settings_.seed_ })
-    , reports_(
-          settings_.service_, settings_.firstStart_ ? ReadyEvidence::Report : ReadyEvidence::AnswerOrReports)
+    , reports_(settings_.service_,
+          settings_.firstStart_ ? ReadyEvidence::Report : ReadyEvidence::AnswerOrLaterReport, Clock::now())
     , backendPool_(http1::Pool::create(context_, backendPoolOptions(settings_, headers_)))
     , healthCheck_({ backendPool_, headers_, reports_,
           [this] {
--- a/testsuite/soak/schedule.py
+++ b/testsuite/soak/schedule.py
@@ -218,11 +218,12 @@
         leaving, store = machine.backend, self.world.store
         others = [each for each in self.world.machines if each.name not in self.world.busy]
         self.world.busy.update(each.name for each in others)
-        store.down = luck.choice(("busy", "silent", "reset"))
-        late_s = luck.uniform(3, 5)
-        for _ in range(3):
+        late_s = luck.uniform(*luck.choice(((3, 5), (10, 11))))
+        for _ in range(1 + int(late_s)):
             leaving.spawn(leaving.late_report(late_s))
-            await asyncio.sleep(luck.uniform(0.1, 0.7))
+            await asyncio.sleep(luck.uniform(0.7, 1.0))
+        store.down = luck.choice(("busy", "silent", "reset"))
+        await asyncio.sleep(luck.uniform(0.2, 1))
         leaving.spawn(leaving.leave_and_stay())
         await asyncio.sleep(luck.uniform(0.8, 1.5))
         await asyncio.gather(*(each.end(signal.SIGKILL, 2) for each in [machine] + others))
@@ -233,7 +234,7 @@
             each.start()
         store.down = ""
         self.world.busy.difference_update(each.name for each in others)
-        await asyncio.sleep(luck.uniform(6, 9))
+        await asyncio.sleep(luck.uniform(9, 12))
         leaving.crash()
         await machine.start_backend(self.world.site, self.world.record)
         for disturbance in disturbances:
