fix(sidecar): a stop goes by the settings as they are at SIGTERM

Callers saw: where the time to SIGKILL was shortened in the settings without a signal just before a stop, orders that the stopping node had accepted ran and were not answered.

Cause: a changed settings file is looked at once a second, and the steps of a stop are set at SIGTERM from what was read last.

Evidence: testsuite/stops with a change from 10 s to 6 s on the code before: both nodes were killed, and 17 orders that were sent 3.0 to 3.5 s after SIGTERM were lost. Ruled out: a stop that is too long by itself; the same stop with 6 s from the start has no findings.

Change: the node looks at the settings file when it is to stop. A change during a stop still counts for nothing.

--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -110,6 +110,8 @@
     auto isReady() const -> bool;
     auto waitForSignal() -> void;
     auto reload() -> void;
+    /// Reloads if the settings file has changed since it was read.
+    auto reloadIfChanged() -> void;
     auto beginStop() -> void;
     auto stopAccepting() -> void;
     auto checkStopped() -> void;
@@ -500,11 +502,20 @@
             { "stop_ms", toMilliseconds(settings_.stopTime_) } });
 }
 
+auto SidecarProcess::reloadIfChanged() -> void
+{
+    if (platform_.settingsStamp_() != settingsStamp_) {
+        reload();
+    }
+}
+
 auto SidecarProcess::beginStop() -> void
 {
     if (std::exchange(stopping_, true)) {
         return;
     }
+    // The time until SIGKILL may have changed without a signal.
+    reloadIfChanged();
     logEvent(LogLevel::Info, "stopping",
         { { "requests", entry_.inFlight() }, { "backend_requests", gate_.inFlight() } });
     stopStarted_ = Clock::now();
@@ -647,8 +658,8 @@
         gate_.setCallsMade(callsMade());
         logLoad();
     }
-    if (ticks_ % settingsTicks == 0 && platform_.settingsStamp_() != settingsStamp_) {
-        reload();
+    if (ticks_ % settingsTicks == 0) {
+        reloadIfChanged();
     }
     if (stopping_) {
         checkStopped();
--- a/testsuite/stops/run.py
+++ b/testsuite/stops/run.py
@@ -73,7 +73,8 @@
 class Stop:
     """One stop of two machines while their clients go on."""
 
-    def __init__(self, grace_s, folder):
+    def __init__(self, grace_s, folder, grace_before_s=None):
+        """`grace_before_s` holds until just before the stop, if it is given."""
         self.grace_s = grace_s
         self.record = Record()
         self.site = SlowSite()
@@ -86,7 +87,7 @@
         self.machines = [Machine(number + 1, zone, service, folder, program, base)
                          for number, (zone, service) in enumerate(LAYOUT)]
         for machine in self.machines:
-            machine.bounds["gracePeriodS"] = grace_s
+            machine.bounds["gracePeriodS"] = grace_before_s or grace_s
 
     async def start(self):
         """Starts everything and waits until all nodes are ready."""
@@ -164,6 +165,10 @@
         starts += [lambda m=machine: self.send(m, browse, count=3) for machine in stopping]
         flows = [asyncio.ensure_future(self.flow(lambda: not end[0] or now() < end[0], start)) for start in starts]
         await asyncio.sleep(SETTLE_S)
+        for machine in stopping:
+            if machine.bounds["gracePeriodS"] != self.grace_s:
+                machine.bounds["gracePeriodS"] = self.grace_s
+                machine.write_settings()
         signalled = now()
         end[0] = signalled + self.grace_s
         ended = await asyncio.gather(*(machine.end(signal.SIGTERM, self.grace_s) for machine in stopping))
@@ -197,11 +202,11 @@
 class Stops(unittest.TestCase):
     """Each test plays one stop."""
 
-    def play(self, grace_s):
-        """Plays a stop with this time from SIGTERM to SIGKILL."""
+    def play(self, grace_s, grace_before_s=None):
+        """Plays a stop with this time from SIGTERM to SIGKILL, which may have changed just before."""
         async def run(folder):
             asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-            stop = Stop(grace_s, folder)
+            stop = Stop(grace_s, folder, grace_before_s)
             try:
                 await stop.start()
                 wrong = await stop.play()
@@ -223,6 +228,10 @@
         """The same with a longer time to SIGKILL."""
         self.play(10)
 
+    def test_shortened_stop(self):
+        """Guards against a stop that goes by the settings of the start after they have changed without a signal."""
+        self.play(BOUNDS["gracePeriodS"], 10)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=1, warnings="ignore")
