fix(http1): the buffer of a body grows by a quarter of it, not to twice its size

Callers saw: on a VM of 160 MB a single upload of 64 MiB, which the configuration allows, was answered 503 each time, with nothing else to do.

Cause: the reader asks for a quarter more with std::string::reserve(), which doubles the capacity nevertheless when it grows. The capacity is what is charged, so a body of more than half of the bound on long requests (0.42 of the memory) did not fit alone.

Ruled out: other holders of the bound, there were none.

Change: the larger buffer is a new string, which gets what it asks for.

--- a/src/libhttp1/http1_reader.cpp
+++ b/src/libhttp1/http1_reader.cpp
@@ -185,13 +185,17 @@
         return stopParsing;
     }
     if (body_.capacity() - body_.size() < part.size()) {
-        // Grows by less than the string itself would, as the capacity is charged. An announced length is not
-        // provided for in advance: with huge pages the first byte of a large buffer takes megabytes.
+        // Grows by less than the string itself would, as the capacity is charged; reserve() doubles it too.
+        // An announced length is not provided for in advance: with huge pages the first byte of a large
+        // buffer takes megabytes.
         auto wanted = body_.size() + part.size() + body_.size() / growthDivisor;
         if ((parser_.flags & F_CONTENTLENGTH) != 0) {
             wanted = std::min<std::size_t>(wanted, body_.size() + part.size() + parser_.content_length);
         }
-        body_.reserve(wanted);
+        std::string grown;
+        grown.reserve(wanted);
+        grown.append(body_);
+        body_.swap(grown);
     }
     body_.append(part);
     return 0;
--- a/src/libhttp1/http1_reader_test.cpp
+++ b/src/libhttp1/http1_reader_test.cpp
@@ -166,3 +166,32 @@
         }
     }
 }
+
+// The buffer of a body doubled as it grew, and all of it is charged: a body of more than half of the bound on
+// long requests was refused, though it was the only one.
+Test(http1_reader, the_buffer_of_a_body_grows_by_a_part_of_it)
+{
+    constexpr std::size_t bodyBytes = 3000000;
+    constexpr std::size_t partBytes = 65536;
+    constexpr std::size_t headBytes = 100;
+    const std::string length = "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    for (const auto& fields : { length, std::string("Transfer-Encoding: chunked\r\n\r\n") }) {
+        MessageReader reader(MessageReader::Kind::Requests);
+        reader.feed("POST /x HTTP/1.1\r\nHost: h\r\n" + fields);
+        const bool chunked = fields != length;
+        for (std::size_t sent = 0; sent < bodyBytes;) {
+            const auto part = std::min(partBytes, bodyBytes - sent);
+            sent += part;
+            if (chunked) {
+                reader.feed("10000\r\n" + std::string(partBytes, 'y') + "\r\n");
+            } else {
+                reader.feed(std::string(part, 'y'));
+            }
+            const auto size = reader.bodySize();
+            cr_assert(reader.heldBytes() <= size + size / 4 + partBytes + headBytes, "%zu for %zu",
+                reader.heldBytes(), size);
+            cr_assert(chunked || reader.heldBytes() <= bodyBytes + headBytes, "%zu for an announced %zu",
+                reader.heldBytes(), bodyBytes);
+        }
+    }
+}
