fix(mesh): a process has ended when no thread of it is left

Seen: testsuite/faults replace-all failed once: the new node could not listen for gossip, as the address was in use 2.3 s after the old node had logged its end.

Cause, as far as shown: scripts/mesh takes a process in state Z for ended. A process whose first thread has ended is in that state while other threads still hold its sockets.

Change: state Z counts as the end only with one thread left.

Measured: ProcessTest of testsuite/mesh, new, fails on the code before ("stopped" for a process whose socket is in use) and passes now. The program runs all classes of its tests now, not only MeshTest.

--- a/src/build-scripts/mesh_processes.py
+++ b/src/build-scripts/mesh_processes.py
@@ -50,10 +50,15 @@
     return int(fields[19]) if fields else 0
 
 
+def has_ended(fields):
+    """Returns whether no thread of a process is left. Its first thread may end before others, which hold its sockets."""
+    return fields[0] == "X" or (fields[0] == "Z" and int(fields[17]) <= 1)
+
+
 def state_of(process):
     """Returns "running", "frozen" or "stopped"."""
     fields = _stat_fields(process.pid) if process.pid else None
-    if not fields or int(fields[19]) != process.start_time or fields[0] in "ZX":
+    if not fields or int(fields[19]) != process.start_time or has_ended(fields):
         return "stopped"
     return "frozen" if fields[0] in "Tt" else "running"
 
--- a/testsuite/mesh/run.py
+++ b/testsuite/mesh/run.py
@@ -14,6 +14,18 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(FOLDER))
 DEADLINE_S = 90
+sys.path.insert(0, os.path.join(ROOT, "src", "build-scripts"))
+
+import mesh_processes  # noqa: E402
+
+# The first thread ends; another one goes on with the listening socket.
+FIRST_THREAD_ENDS = """
+import ctypes, socket, threading, time
+listening = socket.create_server(("127.0.0.1", 0))
+threading.Thread(target=time.sleep, args=(60,)).start()
+print(listening.getsockname()[1], flush=True)
+ctypes.CDLL(None).pthread_exit(None)
+"""
 
 
 def request(address, method, path, body=None):
@@ -36,6 +48,27 @@
         return False
 
 
+class ProcessTest(unittest.TestCase):
+    """What the commands of scripts/mesh take for the end of a process."""
+
+    def test_threads_that_outlive_the_first_one(self):
+        """Guards against a process that counts as ended while it still holds its addresses."""
+        child = subprocess.Popen([sys.executable, "-c", FIRST_THREAD_ENDS], stdout=subprocess.PIPE, text=True)
+        self.addCleanup(child.wait)
+        self.addCleanup(child.kill)
+        self.addCleanup(child.stdout.close)
+        child.stdout.readline()
+        deadline = time.monotonic() + DEADLINE_S
+        while is_running(child.pid):
+            self.assertLess(time.monotonic(), deadline)
+            time.sleep(0.01)
+        process = mesh_processes.Process("p", "node", "z", "s", "", "", "", [], child.pid,
+                                         mesh_processes.start_time_of(child.pid))
+        self.assertEqual(mesh_processes.state_of(process), "running")
+        mesh_processes.kill([process])
+        self.assertEqual(mesh_processes.state_of(process), "stopped")
+
+
 class MeshTest(unittest.TestCase):
     """One mesh for each test, in a state directory of its own."""
 
@@ -218,5 +251,6 @@
 
 
 if __name__ == "__main__":
-    result = unittest.TextTestRunner(verbosity=2).run(unittest.defaultTestLoader.loadTestsFromTestCase(MeshTest))
+    tests = unittest.defaultTestLoader.loadTestsFromModule(sys.modules[__name__])
+    result = unittest.TextTestRunner(verbosity=2).run(tests)
     sys.exit(0 if result.wasSuccessful() and result.testsRun else 1)
