feat(sidecar): a log event for the end of a process

Destructors that last and a process that the system does not end look the same in the log. The event `ended` is logged when everything is closed and given back.

--- a/src/wagtailhead-sidecar/main.cpp
+++ b/src/wagtailhead-sidecar/main.cpp
@@ -75,5 +75,9 @@
         return 1;
     }
     valueOf(sidecar)->run();
+    valueOf(sidecar).reset();
+    // Tells an end that takes long in the process from one that the system does not carry out.
+    logEvent(LogLevel::Info, "ended");
+    flushLog();
     return 0;
 }
