fix(sidecar): a stopping node sends on nothing that usually runs longer than the process

Callers saw: orders that were sent just after SIGTERM to a service that needs seconds for them ran, and their connection was closed without a response. They may not be repeated.

Cause: until callers can have noticed a stop, 2.5 s after SIGTERM, requests were sent on whatever time they take. A refusal by their deadline is no answer there: most requests end long before it.

Change: a node learns how long the requests of each route usually run (mean and mean deviation of what it sees), and from SIGTERM on refuses those that usually end after the process. They have not run, so they may be repeated at once. It is looked at where the deadline is, so queued and repeated requests share it. Requests that run for less are accepted as before.

The new test of `caller_entry` needs the new interface.

--- a/src/libsidecar/caller_entry.cpp
+++ b/src/libsidecar/caller_entry.cpp
@@ -8,7 +8,7 @@
     , shedding_(options.service_, parts.directory_, options.seed_ + 1)
     , shared_ { options.node_, options.service_, options.headers_, parts.directory_, parts.links_,
         parts.gate_, budgets_, shedding_, costModel_, parts.quota_, log_, parts.metrics_, stats_,
-        parts.configuration_, parts.hasRoom_, bulk_,
+        parts.configuration_, parts.hasRoom_, bulk_, runTimes_,
         [this](const SiteRoute& route) -> const std::string& {
             return chooseDestination(route);
         },
--- a/src/libsidecar/caller_entry.h
+++ b/src/libsidecar/caller_entry.h
@@ -45,6 +45,13 @@
         shared_.stopping_ = true;
     }
 
+    /// Refuses requests that usually run beyond `latestResponse`, in bootNow() time, unless they have been
+    /// sent on already.
+    auto expectResponsesUntil(TimePoint latestResponse) -> void
+    {
+        shared_.latestResponse_ = latestResponse;
+    }
+
     /// Refuses requests whose deadline is after `latestDeadline`, in bootNow() time, unless they have been
     /// sent on already. They are not repeated either.
     auto admitUntil(TimePoint latestDeadline) -> void
@@ -89,6 +96,7 @@
     RootShedding shedding_;
     CostModel costModel_;
     BulkResponses bulk_;
+    RunTimes runTimes_;
     RequestLog log_;
     CallerEntryStats stats_;
     CallerShared shared_;
--- a/src/libsidecar/caller_entry_test.cpp
+++ b/src/libsidecar/caller_entry_test.cpp
@@ -268,6 +268,26 @@
     fixture.waitForBackend();
 }
 
+// Orders that run longer than the process were sent on until callers had noticed the stop, and were cut.
+Test(caller_entry, a_request_that_usually_outlasts_the_process_is_refused)
+{
+    CallerEntryFixture fixture;
+    fixture.send("POST", "/order/1");
+    fixture.waitForBackend();
+    const auto end = Clock::now() + milliseconds(200);
+    fixture.runUntil([&] {
+        return Clock::now() > end;
+    });
+    fixture.pool_->answer(sealedAnswer("a1"));
+    cr_assert(contains(fixture.answer(), " 200 "));
+    fixture.entry_.expectResponsesUntil(bootNow() + milliseconds(150));
+    fixture.send("POST", "/order/1");
+    cr_assert(contains(fixture.answer(), " 503 "));
+    cr_assert(fixture.pool_->sent_.empty(), "it ran");
+    fixture.send("GET", "/read/1");
+    fixture.waitForBackend();
+}
+
 // The same for an order that was accepted before and whose backend server has rejected it since.
 Test(caller_entry, a_request_is_not_repeated_beyond_the_end_of_the_process)
 {
--- a/src/libsidecar/caller_operation.cpp
+++ b/src/libsidecar/caller_operation.cpp
@@ -435,6 +435,7 @@
         shared_.directory_.onFailure(node, Clock::now());
     } else {
         shared_.directory_.onSuccess(node);
+        shared_.runTimes_.onResponse(route_->name_, trace_.attempts_.back().time_);
     }
     const bool timedOut = reply.response_.status_ == statusGatewayTimeout;
     if (failed && !timedOut && route_->idempotent_ && mayRetry(true)) {
--- a/src/libsidecar/caller_operation.h
+++ b/src/libsidecar/caller_operation.h
@@ -10,6 +10,7 @@
 #include "request_metrics.h"
 #include "retry_budgets.h"
 #include "root_shedding.h"
+#include "run_times.h"
 #include "wagtailhead/site_configuration.h"
 
 #include <functional>
@@ -85,12 +86,15 @@
     /// Whether the memory allows to hold another response of so many bytes until its caller has read it.
     std::function<bool(std::size_t bytes)> hasRoom_;
     BulkResponses& bulk_;
+    RunTimes& runTimes_;
     std::function<const std::string&(const SiteRoute& route)> chooseDestination_;
     /// Called when the request has been answered or its caller has disconnected.
     std::function<void(const std::shared_ptr<CallerOperation>& operation)> onEnded_;
     bool stopping_ = false; ///< This node is shutting down and refuses further requests.
     /// Requests with a later deadline are not sent on: this process may end before they do.
     TimePoint latestDeadline_ = TimePoint::max();
+    /// Requests that usually run beyond it are not sent on.
+    TimePoint latestResponse_ = TimePoint::max();
 };
 
 /// Sends a request to one gate after another until there is a final response. All members run in the single
@@ -124,10 +128,11 @@
     auto onQuota(const QuotaResult& result) -> void;
     auto admit() -> void;
     auto attempt() -> void;
-    /// Returns whether this process still runs at the deadline.
+    /// Returns whether this process still runs at the deadline, and when the response usually comes.
     auto endsInTime() const -> bool
     {
-        return deadline_ <= shared_.latestDeadline_;
+        return deadline_ <= shared_.latestDeadline_
+            && bootNow() + shared_.runTimes_.usual(route_->name_) <= shared_.latestResponse_;
     }
     auto placementWork() const -> PlacementWork;
     auto gateCall() const -> GateCall;
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -527,6 +527,7 @@
     stop_.emplace(settings_.stopTime_);
     callers_->startClosing();
     gate_.admitUntil(stopSignalled_ + stop_->lastEnd());
+    entry_.expectResponsesUntil(stopSignalled_ + stop_->latestResponse());
 }
 
 auto SidecarProcess::stopAccepting() -> void
--- a/src/libsidecar/stop_sequence.cpp
+++ b/src/libsidecar/stop_sequence.cpp
@@ -36,12 +36,17 @@
     return partOf(stopTime_, admissionPart);
 }
 
+auto StopSequence::latestResponse() const -> Duration
+{
+    return partOf(stopTime_, endPart) - answerTime;
+}
+
 auto StopSequence::latestDeadline(Duration spent) const -> std::optional<Duration>
 {
     if (spent <= noticeTime) {
         return std::nullopt;
     }
-    return partOf(stopTime_, endPart) - answerTime;
+    return latestResponse();
 }
 
 auto StopSequence::next(
--- a/src/libsidecar/stop_sequence.h
+++ b/src/libsidecar/stop_sequence.h
@@ -36,6 +36,9 @@
     /// sent to it must end before then.
     auto lastEnd() const -> Duration;
 
+    /// Returns the time after SIGTERM at which responses still reach their callers.
+    auto latestResponse() const -> Duration;
+
     /// Returns the time after SIGTERM before which a request has to end that is sent on at the time `spent`
     /// after SIGTERM, whether it has just arrived, has waited or is repeated. Returns nothing as long as
     /// callers may not have noticed the stop: their requests are accepted whatever time they have.
--- a/testsuite/stops/run.py
+++ b/testsuite/stops/run.py
@@ -27,6 +27,7 @@
 EXCUSED_S = 3.0  # What is sent until then may be cut if its backend server works on.
 LAST_PART = 1 / 6  # Of the time to SIGKILL.
 SETTLE_S = 3.0
+LEARN_S = 7.0  # The nodes have seen answers to each kind of request then.
 INTERVAL_S = 0.1
 READY_LIMIT_S = 20.0
 BIN_DIR = os.environ.get("BIN_DIR", os.path.join(ROOT, "build", "bin"))
@@ -73,9 +74,11 @@
 class Stop:
     """One stop of two machines while their clients go on."""
 
-    def __init__(self, grace_s, folder, grace_before_s=None):
-        """`grace_before_s` holds until just before the stop, if it is given."""
+    def __init__(self, grace_s, folder, grace_before_s=None, before_s=SETTLE_S):
+        """`grace_before_s` holds until just before the stop, if it is given. Clients send for `before_s` until then."""
         self.grace_s = grace_s
+        self.before_s = before_s
+        self.excused_s = EXCUSED_S if before_s < LEARN_S else 0.0
         self.record = Record()
         self.site = SlowSite()
         self.store = StoreStandin()
@@ -164,7 +167,7 @@
         starts += [lambda m=machine: self.send(m, order, b"y" * 4000, self.random.uniform(0.2, 2.5)) for machine in stopping]
         starts += [lambda m=machine: self.send(m, browse, count=3) for machine in stopping]
         flows = [asyncio.ensure_future(self.flow(lambda: not end[0] or now() < end[0], start)) for start in starts]
-        await asyncio.sleep(SETTLE_S)
+        await asyncio.sleep(self.before_s)
         for machine in stopping:
             if machine.bounds["gracePeriodS"] != self.grace_s:
                 machine.bounds["gracePeriodS"] = self.grace_s
@@ -186,7 +189,7 @@
             return []
         at_work = any(run.time + self.site.services[run.service].work_s > signalled + self.grace_s * (1 - LAST_PART)
                       for run in runs)
-        if request.sent <= signalled + EXCUSED_S and at_work:
+        if request.sent <= signalled + self.excused_s and at_work:
             return []
         return [f"{name} ran and ended {request.ended - request.sent:.2f} s later without an answer"]
 
@@ -202,11 +205,11 @@
 class Stops(unittest.TestCase):
     """Each test plays one stop."""
 
-    def play(self, grace_s, grace_before_s=None):
-        """Plays a stop with this time from SIGTERM to SIGKILL, which may have changed just before."""
+    def play(self, grace_s, *before):
+        """Plays a stop with this time from SIGTERM to SIGKILL; `before` says what was before it."""
         async def run(folder):
             asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-            stop = Stop(grace_s, folder, grace_before_s)
+            stop = Stop(grace_s, folder, *before)
             try:
                 await stop.start()
                 wrong = await stop.play()
@@ -228,6 +231,10 @@
         """The same with a longer time to SIGKILL."""
         self.play(10)
 
+    def test_stop_with_known_run_times(self):
+        """Guards against orders that are taken just after SIGTERM though they usually run longer than the process."""
+        self.play(BOUNDS["gracePeriodS"], None, LEARN_S)
+
     def test_shortened_stop(self):
         """Guards against a stop that goes by the settings of the start after they have changed without a signal."""
         self.play(BOUNDS["gracePeriodS"], 10)
