fix(links): a refusal of memory for a body tells the load of its node

Change: the reply carries the load of the gate, as other refusals do. Beside it, two names: the limit for copied bodies is the one for small messages, and its comment fits its line.

Measured: the extended test of `link` fails without the load ("the node would count as idle") and passes with it; unit tests: sidecar 172 of 172, http1 40 of 40.

--- a/src/libhttp1/http1_listener.h
+++ b/src/libhttp1/http1_listener.h
@@ -25,8 +25,7 @@
 /// Bounds on what all callers together make the process hold; 0 for none.
 struct ListenerBounds {
     std::size_t connections_ = 0;
-    std::size_t smallMessageBytes_
-        = 0; ///< Of requests of up to largestSmallMessage that are being read or run.
+    std::size_t smallMessageBytes_ = 0; ///< Of requests of up to largestSmallMessage, read or run.
     std::size_t largeMessageBytes_ = 0; ///< Of longer ones.
     std::size_t readAheadBytes_ = 0; ///< Of what has been received and is not read as requests yet.
 };
@@ -80,7 +79,7 @@
     /// Beyond that on bytes that are read ahead, connections are read only as their requests are answered.
     virtual auto setBounds(const ListenerBounds& bounds) -> void = 0;
 
-    /// Takes memory for a request of so many bytes that comes in otherwise, from the bound on long requests.
+    /// Takes memory for a request of so many bytes that another node sends, from the bound on long requests.
     /// For it, requests of callers are refused that have held more bytes for longer than this one would
     /// within a second. Returns nothing if there is still no room.
     virtual auto takeRoom(std::size_t bytes) -> std::optional<MemoryCharge> = 0;
--- a/src/libsidecar/frame_stream.cpp
+++ b/src/libsidecar/frame_stream.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t readBytes = 65536;
 /// Buffers of up to this size are kept for the next frames.
 constexpr std::size_t keptBytes = 65536;
-/// Longer bodies of calls are written from where they are.
-constexpr std::size_t largestCopiedBody = 65536;
 
 /// Each read is handled at once, so one buffer serves all streams of the thread.
 auto readBuffer() -> std::array<char, readBytes>&
@@ -33,7 +31,7 @@
     }
     auto& text = pieces_.back().text_;
     const auto* call = std::get_if<CallFrame>(&frame);
-    if (call == nullptr || call->call_.body_.size() <= largestCopiedBody) {
+    if (call == nullptr || call->call_.body_.size() <= http1::largestSmallMessage) {
         const auto before = text.size();
         appendFrame(text, frame);
         bytes_ += text.size() - before;
--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -266,6 +266,7 @@
     GateReply busy;
     busy.outcome_ = GateOutcome::NotRun;
     busy.reason_ = GateReason::Busy;
+    busy.load_ = reply.load_;
     callback({ std::move(busy), incarnation_ });
 }
 
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -238,14 +238,20 @@
     packEntry(packer, frame.entry_);
 }
 
-auto pack(StringStream& stream, const LoadFrame& frame) -> void
+/// Packs a frame that ends with a load; `fields` stand before it.
+template <typename... Fields>
+auto packWithLoad(StringStream& stream, int type, const GateLoad& load, const Fields&... fields) -> void
 {
-    const auto& load = frame.load_;
-    packAll(stream, typeNumber<LoadFrame>(), load.running_, load.queued_, load.limit_,
+    packAll(stream, type, fields..., load.running_, load.queued_, load.limit_,
         microsecondsOf(load.serviceTime_), load.level_, load.called_.level_,
         millisecondsOf(load.called_.age_), static_cast<int>(load.calls_), load.failedShare_);
 }
 
+auto pack(StringStream& stream, const LoadFrame& frame) -> void
+{
+    packWithLoad(stream, typeNumber<LoadFrame>(), frame.load_);
+}
+
 auto pack(StringStream& stream, const BeatFrame& frame) -> void
 {
     packAll(stream, typeNumber<BeatFrame>(), frame.configVersion_, frame.watching_, frame.storeReachable_,
@@ -270,7 +276,7 @@
 
 auto pack(StringStream& stream, const RoomReplyFrame& frame) -> void
 {
-    packAll(stream, typeNumber<RoomReplyFrame>(), frame.id_, frame.granted_);
+    packWithLoad(stream, typeNumber<RoomReplyFrame>(), frame.load_, frame.id_, frame.granted_);
 }
 
 auto readBeat(ArrayReader& reader) -> BeatFrame
@@ -462,8 +468,12 @@
         return RoomAskFrame { id, reader.next<std::uint64_t>() };
     }
     case typeNumber<RoomReplyFrame>(): {
-        const auto id = reader.next<std::uint64_t>();
-        return RoomReplyFrame { id, reader.next<bool>() };
+        RoomReplyFrame frame;
+        frame.id_ = reader.next<std::uint64_t>();
+        frame.granted_ = reader.next<bool>();
+        frame.load_ = readLoad(reader);
+        frame.load_.failedShare_ = readFailedShare(reader);
+        return frame;
     }
     case typeNumber<LoadFrame>(): {
         LoadFrame frame { readLoad(reader) };
--- a/src/libsidecar/link_frames.h
+++ b/src/libsidecar/link_frames.h
@@ -105,6 +105,7 @@
 struct RoomReplyFrame {
     std::uint64_t id_ = 0; ///< Of the RoomAskFrame.
     bool granted_ = false;
+    GateLoad load_; ///< Of the sender's gate.
 };
 
 using Frame = std::variant<HelloFrame, CallFrame, ReplyFrame, CancelFrame, FenceFrame, FenceReplyFrame,
--- a/src/libsidecar/link_server.cpp
+++ b/src/libsidecar/link_server.cpp
@@ -163,7 +163,7 @@
 auto Session::onRoomAsk(const RoomAskFrame& ask) -> void
 {
     auto room = parts_.takeRoom_ ? parts_.takeRoom_(ask.bytes_) : MemoryCharge();
-    stream_->send(RoomReplyFrame { ask.id_, room.has_value() });
+    stream_->send(RoomReplyFrame { ask.id_, room.has_value(), parts_.gate_.load() });
     if (room) {
         rooms_.insert_or_assign(ask.id_, std::move(*room));
     }
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -542,6 +542,7 @@
     }));
     const auto& reply = std::get<GateReply>(refused->value_);
     cr_assert(reply.outcome_ == GateOutcome::NotRun && reply.reason_ == GateReason::Busy && !reply.arrived_);
+    cr_assert(reply.load_.limit_ == 1 && reply.load_.running_ == 1, "the node would count as idle");
     cr_assert(world.pool_->sent_.size() == 1 && world.gate_.stats().admitted_ == 1);
     world.pool_->answer(sealedAnswer("a"));
     cr_assert(world.runUntil([&] {
