test(soak): an error of the harness is printed before its loop ends

An error in the run is printed only after the event loop has ended, and that waits for a task which does not take its cancellation; so the error was lost. The program that the soak starts was being linked again at that moment, which is the likely cause of the error and is not shown.

--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -6,6 +6,7 @@
 import os
 import sys
 import tempfile
+import traceback
 from collections import Counter
 
 from checks import Checker
@@ -70,6 +71,10 @@
         await world.start()
         schedule, recovery_from = await world.play(chosen.minutes * 60, QUIET_S, chosen.fault_pause,
                                                    chosen.request_pause, [each for each in chosen.faults.split(",") if each])
+    except Exception:
+        # Printed before the end of the loop, which may wait for ever for a task that does not take its cancellation.
+        print(f"seed {seed}: not played to its end\n{traceback.format_exc()}  again: {replay_command(chosen, seed)}", flush=True)
+        raise
     finally:
         await world.close()
     findings = Checker(world.record, world.site).check(recovery_from)
