--- a/src/wagtailhead-sidecar/main.cpp
+++ b/src/wagtailhead-sidecar/main.cpp
@@ -76,7 +76,7 @@
     }
     valueOf(sidecar)->run();
     valueOf(sidecar).reset();
-    // Tells an end that takes long in the process from one that the system does not carry out.
+    // Without it, a slow teardown looks like a process that the system is slow to end.
     logEvent(LogLevel::Info, "ended");
     flushLog();
     return 0;
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -72,7 +72,7 @@
         schedule, recovery_from = await world.play(chosen.minutes * 60, QUIET_S, chosen.fault_pause,
                                                    chosen.request_pause, [each for each in chosen.faults.split(",") if each])
     except Exception:
-        # Printed before the end of the loop, which may wait for ever for a task that does not take its cancellation.
+        # Printed here because the end of the loop may wait without limit for a task that ignores its cancellation.
         print(f"seed {seed}: not played to its end\n{traceback.format_exc()}  again: {replay_command(chosen, seed)}", flush=True)
         raise
     finally:
