fix(http1): a response without a length is not complete after a write that failed

Callers got part of a response as a complete one: a backend server answered a long upload at once with a 200 that had no length, sent part of the body and reset the connection while the upload was still being written.

Cause: the pool wrote the upload and read the response independently. A write that fails takes the pending error of the socket with it; the read that follows returns the bytes that are left and then the end of the stream, which is what an orderly close looks like, and an orderly close completes a response without a length. A time-out of the path that a write reports has the same effect.

Change: the pool waits until the connection takes more of the request, reads what has arrived, and only then writes on. So the end of the stream that belongs to the response is seen before a write can fail, and after a failed write the end of the stream completes nothing; a response that is complete by its length or its last chunk still is. A connection whose write has failed is not used again; before, by reading the code, it could go back to the idle ones after a complete response; no run showed that. A first write that fails at once ends the call as before, without a look at what came before the request.

Valid responses pass as before: no length and an orderly close, also if the rest of the upload then meets a closed socket.

--- a/src/libhttp1/http1_pool.cpp
+++ b/src/libhttp1/http1_pool.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <asio/post.hpp>
-#include <asio/write.hpp>
 #include <charconv>
 #include <deque>
 #include <numeric>
@@ -69,12 +68,22 @@
     auto fail(Failure failure) -> void;
 
 private:
+    enum class RequestState : std::uint8_t {
+        Written, ///< Or there is none.
+        Writing,
+        Failed, ///< The connection has broken, and the next read may not report it.
+    };
+
     auto onConnected(const asio::error_code& error) -> void;
     auto sendRequest() -> void;
-    /// Returns the request behind its first `written` bytes.
-    auto unwritten(std::size_t written) const -> std::array<asio::const_buffer, 2>;
+    auto write() -> void;
+    auto waitWritable() -> void;
+    /// Returns what is left to write.
+    auto unwritten() const -> std::array<asio::const_buffer, 2>;
+    auto endWriting(RequestState state) -> void;
     auto waitReadable() -> void;
-    auto onReadable() -> void;
+    /// Reads what fits into one buffer. Returns false if nothing was there or the connection is closed.
+    auto readSome() -> bool;
     auto take(std::string_view bytes) -> void;
     /// Returns whether the response is a copy of the one to the previous request on this connection.
     auto isLateCopy(const Response& response) const -> bool;
@@ -85,6 +94,7 @@
     MessageReader reader_ { MessageReader::Kind::Responses };
     std::string output_; ///< Head of the request that is being written.
     Body body_; ///< Of that request.
+    std::size_t written_ = 0; ///< Bytes of that request.
     std::optional<PoolCall> call_;
     Pool::CallId callId_ = 0;
     std::string previousId_; ///< PoolCall::id_ of the previous request.
@@ -95,8 +105,8 @@
     TimePoint idleSince_;
     Duration idleLimit_ {};
     bool toHead_ = false;
+    RequestState requestState_ = RequestState::Written;
     bool connected_ = false;
-    bool writing_ = false;
     bool waiting_ = false;
     bool closed_ = false;
 };
@@ -209,38 +219,59 @@
     appendRequestHead(output_, call_->request_);
     body_ = std::move(call_->request_.body_);
     call_->request_ = {};
+    written_ = 0;
+    requestState_ = RequestState::Writing;
     waitReadable();
+    write();
+}
+
+auto ClientConnection::write() -> void
+{
     asio::error_code error;
-    const auto size = socket_.write_some(unwritten(0), error);
-    if (!error && size == output_.size() + body_.size()) {
-        output_ = {};
-        body_ = {};
-        return;
-    }
+    written_ += socket_.write_some(unwritten(), error);
     if (error && error != asio::error::would_block && error != asio::error::try_again) {
-        asio::post(socket_.get_executor(), [self = shared_from_this()] {
-            self->fail(Failure::Lost);
-        });
-        return;
+        endWriting(RequestState::Failed);
+        if (written_ == 0) {
+            // What is there to read came before the request. Not at once: done_ must not run inside send().
+            asio::post(socket_.get_executor(), [self = shared_from_this()] {
+                self->fail(Failure::Lost);
+            });
+        }
+    } else if (written_ == output_.size() + body_.size()) {
+        endWriting(RequestState::Written);
+    } else {
+        waitWritable();
     }
-    writing_ = true;
-    asio::async_write(
-        socket_, unwritten(size), [self = shared_from_this()](const asio::error_code& failed, std::size_t) {
-            self->writing_ = false;
-            self->output_ = {};
-            self->body_ = {};
-            if (failed) {
-                // An early response may still be there to read; the read side reports the loss.
-                self->waitReadable();
+}
+
+auto ClientConnection::waitWritable() -> void
+{
+    socket_.async_wait(
+        asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const asio::error_code& error) {
+            if (error || self->closed_ || self->pool_ == nullptr) {
+                return;
+            }
+            // A write that fails takes the error of the socket with it, and a read then reports a reset as an
+            // orderly close. What has arrived before is read first, with the end that belongs to it.
+            if (self->readSome()) {
+                self->waitWritable();
+            } else if (!self->closed_) {
+                self->write();
             }
         });
 }
 
-auto ClientConnection::unwritten(std::size_t written) const -> std::array<asio::const_buffer, 2>
+auto ClientConnection::unwritten() const -> std::array<asio::const_buffer, 2>
 {
-    const auto head = std::min(written, output_.size());
-    const auto& body = body_.text();
-    return { asio::buffer(output_) + head, asio::buffer(body) + (written - head) };
+    const auto head = std::min(written_, output_.size());
+    return { asio::buffer(output_) + head, asio::buffer(body_.text()) + (written_ - head) };
+}
+
+auto ClientConnection::endWriting(RequestState state) -> void
+{
+    requestState_ = state;
+    output_ = {};
+    body_ = {};
 }
 
 auto ClientConnection::waitReadable() -> void
@@ -252,36 +283,35 @@
     socket_.async_wait(
         asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code& error) {
             self->waiting_ = false;
-            if (!error) {
-                self->onReadable();
+            if (error || self->closed_ || self->pool_ == nullptr) {
+                return;
             }
+            self->readSome();
+            self->waitReadable();
         });
 }
 
-auto ClientConnection::onReadable() -> void
+auto ClientConnection::readSome() -> bool
 {
-    if (closed_ || pool_ == nullptr) {
-        return;
-    }
     asio::error_code error;
     const auto size = socket_.read_some(asio::buffer(pool_->buffer()), error);
     if (error == asio::error::would_block || error == asio::error::try_again) {
-        waitReadable();
-        return;
+        return false;
     }
-    if (error == asio::error::eof && call_) {
+    if (error == asio::error::eof && call_ && requestState_ != RequestState::Failed) {
         reader_.finish();
         if (reader_.state() == ReadState::Complete) {
             complete(reader_.takeResponse(), true);
-            return;
+            return false;
         }
     }
     if (error || !call_) {
         // Bytes on an idle connection belong to no request.
         fail(Failure::Lost);
-        return;
+        return false;
     }
     take({ pool_->buffer().data(), size });
+    return !closed_;
 }
 
 auto ClientConnection::take(std::string_view bytes) -> void
@@ -303,7 +333,6 @@
         fail(Failure::Malformed);
         return;
     }
-    waitReadable();
     pool_->limitBufferedBytes();
 }
 
@@ -319,7 +348,8 @@
 auto ClientConnection::complete(Response response, bool bytesLeft) -> void
 {
     // A response that came before the request was sent leaves the rest of the request due.
-    const bool reusable = response.keepAlive_ && !bytesLeft && !writing_ && !copyDropped_;
+    const bool reusable
+        = response.keepAlive_ && !bytesLeft && requestState_ == RequestState::Written && !copyDropped_;
     const auto named = namedIdleLimit(response);
     idleLimit_ = named ? std::max(*named - pool_->options().idleMargin_, Duration::zero())
                        : pool_->options().idleLimit_;
