--- a/src/libsidecar/frame_stream_test.cpp
+++ b/src/libsidecar/frame_stream_test.cpp
@@ -6,44 +6,78 @@
 
 using namespace wagtailhead;
 
+namespace {
+
+/// Two ends of one connection on loopback. The sender is started.
+struct ConnectedStreams {
+    ConnectedStreams()
+    {
+        asio::ip::tcp::acceptor acceptor(context_, { asio::ip::make_address("127.0.0.1"), 0 });
+        asio::ip::tcp::socket client(context_);
+        client.connect(acceptor.local_endpoint());
+        sender_ = std::make_shared<FrameStream>(std::move(client));
+        receiver_ = std::make_shared<FrameStream>(acceptor.accept());
+        sender_->start({});
+    }
+    ~ConnectedStreams()
+    {
+        sender_->close();
+        receiver_->close();
+        run();
+    }
+    ConnectedStreams(const ConnectedStreams&) = delete;
+    auto operator=(const ConnectedStreams&) -> ConnectedStreams& = delete;
+
+    auto run() -> void
+    {
+        context_.run_for(milliseconds(5));
+        context_.restart();
+    }
+
+    /// Runs until the condition holds, for 5 s at most.
+    template <typename Condition> auto runUntil(Condition condition) -> void
+    {
+        const auto end = Clock::now() + seconds(5);
+        while (!condition() && Clock::now() < end) {
+            run();
+        }
+    }
+
+    asio::io_context context_;
+    std::shared_ptr<FrameStream> sender_;
+    std::shared_ptr<FrameStream> receiver_;
+};
+
+} // namespace
+
 // Each link kept the memory of its longest frame as long as it was open; uploads of 20 MB to some nodes took
 // the process over its memory (review case 6).
 Test(frame_stream, gives_back_the_memory_of_a_long_frame)
 {
     constexpr std::size_t bodyBytes = 8000000;
     constexpr std::size_t mostKept = 262144;
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    asio::ip::tcp::socket client(context);
-    client.connect(acceptor.local_endpoint());
-    const auto sender = std::make_shared<FrameStream>(std::move(client));
-    const auto receiver = std::make_shared<FrameStream>(acceptor.accept());
-    sender->start({});
+    ConnectedStreams streams;
+    const auto& sender = streams.sender_;
     std::size_t received = 0;
-    receiver->start({ [&](const Frame& frame) {
-                         if (const auto* state = std::get_if<StateFrame>(&frame)) {
-                             received = state->config_.size();
-                         }
-                     },
+    streams.receiver_->start({ [&](const Frame& frame) {
+                                  if (const auto* state = std::get_if<StateFrame>(&frame)) {
+                                      received = state->config_.size();
+                                  }
+                              },
         nullptr });
     for (const std::size_t bytes : { bodyBytes, bodyBytes / 2, std::size_t { 100 } }) {
         StateFrame state;
         state.config_.assign(bytes, 'y');
         sender->send(state);
-        const auto end = Clock::now() + seconds(5);
-        while (received != bytes && Clock::now() < end) {
-            context.run_for(milliseconds(5));
-            context.restart();
-        }
+        streams.runUntil([&] {
+            return received == bytes;
+        });
         cr_assert(received == bytes);
-        context.run_for(milliseconds(5));
-        context.restart();
+        streams.run();
         cr_expect(sender->bufferBytes() < mostKept, "sender keeps %zu", sender->bufferBytes());
-        cr_expect(receiver->bufferBytes() < mostKept, "receiver keeps %zu", receiver->bufferBytes());
+        cr_expect(streams.receiver_->bufferBytes() < mostKept, "receiver keeps %zu",
+            streams.receiver_->bufferBytes());
     }
-    sender->close();
-    receiver->close();
-    context.run_for(milliseconds(5));
 }
 
 // A link held a second copy of each body that it sent, which no budget counted.
@@ -51,19 +85,14 @@
 {
     constexpr std::size_t bodyBytes = 8000000;
     constexpr std::size_t mostHeld = 262144;
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    asio::ip::tcp::socket client(context);
-    client.connect(acceptor.local_endpoint());
-    const auto sender = std::make_shared<FrameStream>(std::move(client));
-    const auto receiver = std::make_shared<FrameStream>(acceptor.accept());
-    sender->start({});
+    ConnectedStreams streams;
+    const auto& sender = streams.sender_;
     std::vector<std::size_t> received;
-    receiver->start({ [&](const Frame& frame) {
-                         if (const auto* call = std::get_if<CallFrame>(&frame)) {
-                             received.push_back(call->call_.body_.size());
-                         }
-                     },
+    streams.receiver_->start({ [&](const Frame& frame) {
+                                  if (const auto* call = std::get_if<CallFrame>(&frame)) {
+                                      received.push_back(call->call_.body_.size());
+                                  }
+                              },
         nullptr });
     const std::vector<std::size_t> sent { 100, bodyBytes, 0, bodyBytes / 2, 100 };
     for (const auto bytes : sent) {
@@ -73,14 +102,9 @@
         cr_expect(sender->bufferBytes() < mostHeld, "the sender holds %zu", sender->bufferBytes());
     }
     cr_assert(sender->unsentBytes() > bodyBytes);
-    const auto end = Clock::now() + seconds(5);
-    while (received.size() < sent.size() && Clock::now() < end) {
-        context.run_for(milliseconds(5));
-        context.restart();
-    }
+    streams.runUntil([&] {
+        return received.size() >= sent.size();
+    });
     cr_assert(received == sent);
     cr_assert(sender->unsentBytes() == 0);
-    sender->close();
-    receiver->close();
-    context.run_for(milliseconds(5));
 }
