fix(http1): a head with a blank or a control byte in a field's name is no response

Callers got such responses: "Content-Length : 2" was passed on as a line of its own beside the length that the node adds, a name that began with a line feed or a carriage return ended the head, so that the rest of the head became the body, and "Content Length: 2" made all that came until the close the body.

Cause: Debian builds the parser in its lenient mode. It accepts a blank anywhere in a name and takes "Content-Length :" for the length; it swallows any byte behind a carriage return where a line feed is due, and takes a line feed alone for the end of a line even where the other lines end with both. A control byte at the start of a value passed too.

Change: the reader checks the fields of a head once it is complete (areFieldLines), the names of trailers, and all ends of lines outside the body: a carriage return is followed by a line feed, and a head whose first line ends with both has no line feed alone. A head with line feeds only, which the standard lets a recipient accept, still passes. The bytes of names and values are those that the server of the node's own interface already held requests to; they moved from http_inspector.cpp to http_syntax.h, so both use one table. Requests go through the same reader and are held to the same: such a request gets 400 instead of being passed on with another length than its sender may have meant.

A response that fails a check counts as malformed: the attempt may have run, and the backend server is charged with the failure.

--- a/src/include/wagtailhead/header_block.h
+++ b/src/include/wagtailhead/header_block.h
@@ -6,13 +6,16 @@
 
 namespace wagtailhead {
 
+/// Returns whether a text consists of lines `Name: value\r\n` with valid names and values. Thread safe.
+auto areFieldLines(std::string_view text) -> bool;
+
 /// The fields of one message as lines `Name: value\r\n`. A message passes a node with few changes, so the
 /// block is searched in place and copied as a whole. Not thread safe.
 class HeaderBlock {
 public:
     HeaderBlock() = default;
 
-    /// Takes lines `Name: value\r\n` that a parser has checked.
+    /// Takes lines for which areFieldLines() holds.
     explicit HeaderBlock(std::string lines)
         : lines_(std::move(lines))
     {
--- a/src/libhttp1/header_block.cpp
+++ b/src/libhttp1/header_block.cpp
@@ -1,5 +1,7 @@
 #include "wagtailhead/header_block.h"
 
+#include "wagtailhead/http_syntax.h"
+
 #include <array>
 #include <cctype>
 #include <strings.h>
@@ -82,6 +84,20 @@
 
 } // namespace
 
+auto areFieldLines(std::string_view text) -> bool
+{
+    for (std::size_t at = 0; at < text.size();) {
+        const auto field = fieldAt(text, at);
+        const auto separator = field.start_ + field.name_.size();
+        if (text.substr(separator, 2) != ": " || !text.substr(0, field.end_).ends_with("\r\n")
+            || !isFieldName(field.name_) || !isFieldValue(field.value_)) {
+            return false;
+        }
+        at = field.end_;
+    }
+    return true;
+}
+
 auto HeaderBlock::add(std::string_view name, std::string_view value) -> void
 {
     lines_.append(name).append(": ").append(value).append("\r\n");
--- a/src/libhttp1/http1_reader.cpp
+++ b/src/libhttp1/http1_reader.cpp
@@ -1,5 +1,7 @@
 #include "http1_reader.h"
 
+#include "wagtailhead/http_syntax.h"
+
 #include <algorithm>
 
 namespace wagtailhead::http1 {
@@ -68,6 +70,8 @@
     headerBytes_ = 0;
     framingBytes_ = 0;
     inValue_ = inField_ = inTrailer_ = false;
+    lineEnds_ = LineEnds::Unknown;
+    inLineEnd_ = false;
     toHead_ = toHead;
 }
 
@@ -80,6 +84,7 @@
         state_ = ReadState::Headers;
     }
     const auto bodyBefore = body_.size();
+    uncheckedFraming_ = bytes.data();
     const auto used = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
     framingBytes_ += used - (body_.size() - bodyBefore);
     const auto error = HTTP_PARSER_ERRNO(&parser_);
@@ -88,6 +93,9 @@
     } else if (error != HPE_OK && error != HPE_PAUSED && state_ < ReadState::Complete) {
         state_ = ReadState::Malformed;
     }
+    if (state_ <= ReadState::Complete && !checkLineEnds(bytes.data() + used)) {
+        state_ = ReadState::Malformed;
+    }
     if (state_ < ReadState::Complete && exceedsFramingLimit()) {
         state_ = ReadState::HeadersTooLarge;
     }
@@ -104,6 +112,21 @@
         > framingAllowance + framingPerHeaderByte * limits_.headerBytes_ + framingPerBodyByte * body_.size();
 }
 
+auto MessageReader::checkLineEnds(const char* end) -> bool
+{
+    for (; uncheckedFraming_ != end; ++uncheckedFraming_) {
+        const bool isLineFeed = *uncheckedFraming_ == '\n';
+        if (inLineEnd_ != isLineFeed && (inLineEnd_ || lineEnds_ == LineEnds::CarriageReturnLineFeed)) {
+            return false;
+        }
+        if (isLineFeed && lineEnds_ == LineEnds::Unknown) {
+            lineEnds_ = inLineEnd_ ? LineEnds::CarriageReturnLineFeed : LineEnds::LineFeed;
+        }
+        inLineEnd_ = *uncheckedFraming_ == '\r';
+    }
+    return true;
+}
+
 auto MessageReader::finish() -> void
 {
     if (state_ == ReadState::Body) {
@@ -121,6 +144,12 @@
     return 0;
 }
 
+auto MessageReader::refuse() -> int
+{
+    state_ = ReadState::Malformed;
+    return stopParsing;
+}
+
 auto MessageReader::endField() -> void
 {
     if (inField_) {
@@ -135,7 +164,8 @@
 auto MessageReader::onField(std::string_view part) -> int
 {
     if (inTrailer_) {
-        return 0; // Trailers are not passed on.
+        // Trailers are not passed on.
+        return std::all_of(part.begin(), part.end(), isFieldNameByte) ? 0 : refuse();
     }
     if (inValue_ || !inField_) {
         endField();
@@ -161,6 +191,10 @@
 auto MessageReader::onHeaders() -> int
 {
     endField();
+    // The parser accepts a blank in a name: it takes "Content-Length : 2" for a length, others do not.
+    if (!areFieldLines(lines_)) {
+        return refuse();
+    }
     inTrailer_ = true;
     state_ = ReadState::Body;
     if (parser_.upgrade != 0) {
@@ -180,6 +214,10 @@
 
 auto MessageReader::onBody(std::string_view part) -> int
 {
+    if (!checkLineEnds(part.data())) {
+        return refuse();
+    }
+    uncheckedFraming_ = part.data() + part.size();
     if (body_.size() + part.size() > limits_.bodyBytes_) {
         state_ = ReadState::BodyTooLarge;
         return stopParsing;
--- a/src/libhttp1/http1_reader.h
+++ b/src/libhttp1/http1_reader.h
@@ -3,6 +3,7 @@
 
 #include "http1_message.h"
 
+#include <cstdint>
 #include <http_parser.h>
 #include <limits>
 #include <memory>
@@ -82,6 +83,12 @@
     auto takeResponse() -> Response;
 
 private:
+    enum class LineEnds : std::uint8_t {
+        Unknown, ///< No line has ended.
+        LineFeed,
+        CarriageReturnLineFeed,
+    };
+
     static auto callbacks() -> const http_parser_settings&;
     auto onField(std::string_view part) -> int;
     auto onValue(std::string_view part) -> int;
@@ -89,6 +96,12 @@
     auto onBody(std::string_view part) -> int;
     auto onComplete() -> int;
     auto endField() -> void;
+    /// Checks the bytes up to `end`, which are no data of the body. The parser takes any byte behind a
+    /// carriage return for a line feed, and a line feed alone for the end of a line whatever ends the others;
+    /// either could end the head in the name of a field.
+    auto checkLineEnds(const char* end) -> bool;
+    /// Makes the message malformed. Returns a callback's result that stops the parser.
+    auto refuse() -> int;
     auto countHeaderBytes(std::size_t bytes) -> int;
     auto exceedsFramingLimit() const -> bool;
 
@@ -100,6 +113,9 @@
     std::string lines_;
     std::string body_;
     MemoryCharge charge_;
+    const char* uncheckedFraming_ = nullptr; ///< Within the bytes that are being fed.
+    LineEnds lineEnds_ = LineEnds::Unknown;
+    bool inLineEnd_ = false; ///< Behind a carriage return.
     std::size_t headerBytes_ = 0;
     std::size_t framingBytes_ = 0; ///< All bytes of the message other than its body.
     bool inValue_ = false;
--- a/src/libnet/http_inspector.cpp
+++ b/src/libnet/http_inspector.cpp
@@ -1,7 +1,8 @@
 #include "http_inspector.h"
 
+#include "wagtailhead/http_syntax.h"
+
 #include <algorithm>
-#include <array>
 #include <climits>
 #include <string_view>
 #include <strings.h>
@@ -21,31 +22,9 @@
 /// Bytes of the end of the last header line and of the empty line behind it.
 constexpr std::size_t headerBlockEnd = 4;
 
-/// The parser is built in its lenient mode, which accepts "Content-Length : 1" and control bytes. Servers
-/// that read such a header differently would see another request than we do.
-constexpr auto nameBytes = [] {
-    constexpr std::string_view separators = "\"(),/:;<=>?@[\\]{}";
-    std::array<bool, 256> bytes {};
-    for (unsigned char letter = '!'; letter < 0x7f; ++letter) {
-        bytes[letter] = separators.find(static_cast<char>(letter)) == std::string_view::npos;
-    }
-    return bytes;
-}();
-
-auto isNameByte(char letter) -> bool
-{
-    return nameBytes[static_cast<unsigned char>(letter)];
-}
-
-auto isValueByte(char letter) -> bool
-{
-    const auto value = static_cast<unsigned char>(letter);
-    return (value >= ' ' && value != 0x7f) || value == '\t';
-}
-
 auto isTargetByte(char letter) -> bool
 {
-    return isValueByte(letter) && letter != ' ' && letter != '\t';
+    return isFieldValueByte(letter) && letter != ' ' && letter != '\t';
 }
 
 auto appendKept(std::string& text, const char* at, std::size_t length) -> void
@@ -197,7 +176,7 @@
 
 auto HttpInspector::onHeaderName(const char* at, std::size_t length) -> int
 {
-    if (!std::all_of(at, at + length, isNameByte)) {
+    if (!std::all_of(at, at + length, isFieldNameByte)) {
         return refuse(HttpRefusal::Malformed);
     }
     if (headersComplete_) {
@@ -215,7 +194,7 @@
 
 auto HttpInspector::onHeaderValue(const char* at, std::size_t length) -> int
 {
-    if (!std::all_of(at, at + length, isValueByte)) {
+    if (!std::all_of(at, at + length, isFieldValueByte)) {
         return refuse(HttpRefusal::Malformed);
     }
     if (headersComplete_) {
