fix(http1): a response needs a status that the standard knows

A backend server in trouble sent an answer with status 000. The pool did not pass it on by itself: it counted as an interim response, and whatever followed it, a second response included, reached the caller as the answer. Statuses of 600 and more were passed on as they were, and so was a response of another major version; a 101 that no request had asked for was skipped.

Cause: every status below 200 counted as interim, and nothing bounded statuses or versions from above.

Evidence: ten streams with such status lines in http1_response_syntax_test.cpp, whole and in parts. On these four passed: 000 and then another response, 600, 101, HTTP/2.0. A status of 000, 20 or 099 alone ended without an answer, but only by the close; to a HEAD request it was not refused at all.

Change: a final status is 200 to 599, an interim one 100 to 199 without 101; anything else, and another major version than 1, is malformed at its head. The standard calls statuses outside the classes invalid and tells a client to take them for a server error, which the 502 of the node is.

--- a/src/include/wagtailhead/http_syntax.h
+++ b/src/include/wagtailhead/http_syntax.h
@@ -46,4 +46,17 @@
     return std::all_of(text.begin(), text.end(), isFieldValueByte);
 }
 
+/// Returns whether a response with this status is the final one. Thread safe.
+constexpr auto isFinalStatus(int status) -> bool
+{
+    return status >= 200 && status < 600;
+}
+
+/// Returns whether a response with this status precedes the final one. Not 101 (Switching Protocols): no
+/// request asks for another protocol. Thread safe.
+constexpr auto isInterimStatus(int status) -> bool
+{
+    return status >= 100 && status < 200 && status != 101;
+}
+
 } // namespace wagtailhead
--- a/src/libhttp1/http1_reader.cpp
+++ b/src/libhttp1/http1_reader.cpp
@@ -191,8 +191,10 @@
 auto MessageReader::onHeaders() -> int
 {
     endField();
+    const int status = static_cast<int>(parser_.status_code);
+    const bool known = kind_ == Kind::Requests || isFinalStatus(status) || isInterimStatus(status);
     // The parser accepts a blank in a name: it takes "Content-Length : 2" for a length, others do not.
-    if (!areFieldLines(lines_)) {
+    if (!known || parser_.http_major != 1 || !areFieldLines(lines_)) {
         return refuse();
     }
     inTrailer_ = true;
@@ -241,9 +243,8 @@
 
 auto MessageReader::onComplete() -> int
 {
-    constexpr int informationalEnd = 200;
-    if (kind_ == Kind::Responses && parser_.status_code < informationalEnd) {
-        lines_.clear(); // An interim response; the final one follows.
+    if (kind_ == Kind::Responses && isInterimStatus(static_cast<int>(parser_.status_code))) {
+        lines_.clear(); // The final response follows.
         inTrailer_ = false;
         state_ = ReadState::Headers;
         return 0;
--- a/src/libhttp1/http1_response_syntax_test.cpp
+++ b/src/libhttp1/http1_response_syntax_test.cpp
@@ -54,11 +54,23 @@
 
 } // namespace
 
-// A backend server in trouble sent lines whose names held a blank, and callers got them as
+// A backend server in trouble sent status 000 and lines whose names held a blank, and callers got them as
 // answers: with the line passed on, or with a body that was cut elsewhere than the server had meant.
 Test(http1_response_syntax, what_is_no_response)
 {
     const Stream streams[] = {
+        { "status 000", withStatusLine("HTTP/1.1 000 None"), nullptr },
+        { "status 000 and then another response",
+            withStatusLine("HTTP/1.1 000 None") + withStatusLine("HTTP/1.1 200 OK"), nullptr },
+        { "status of two digits", withStatusLine("HTTP/1.1 20 OK"), nullptr },
+        { "status 099", withStatusLine("HTTP/1.1 099 None"), nullptr },
+        { "status beyond the classes", withStatusLine("HTTP/1.1 600 None"), nullptr },
+        { "status of four digits", withStatusLine("HTTP/1.1 2000 None"), nullptr },
+        { "signed status", withStatusLine("HTTP/1.1 +20 None"), nullptr },
+        { "no status", withStatusLine("HTTP/1.1 OK"), nullptr },
+        { "another protocol that nobody asked for",
+            "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n" + withStatusLine("HTTP/1.1 200 OK"), nullptr },
+        { "another version", withStatusLine("HTTP/2.0 200 OK"), nullptr },
         { "control byte behind the status line", withStatusLine("HTTP/1.1 200 OK\rX"), nullptr },
         { "blank before the colon", withFields("Content-Length : 2\r\n"), nullptr },
         { "blank before the first name", withFields(" Content-Length: 2\r\n"), nullptr },
@@ -148,6 +160,10 @@
         reader.feed("HTTP/1.1 200 OK\r\n" + std::string(fields) + "\r\n");
         cr_expect(reader.state() == ReadState::Complete, "%s", fields);
     }
+    MessageReader reader(Kind::Responses);
+    reader.reset(true);
+    reader.feed("HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n");
+    cr_expect(reader.state() == ReadState::Malformed);
 }
 
 // A request with such a line was read with another length than servers read it.
