fix(http1): a body in a transfer coding that cannot be decoded is not passed on

Callers would have got bytes that are not the server's body: a response with "Transfer-Encoding: gzip" was passed on with its coded bytes and without the field, one with "chunked, gzip" with the sizes of its chunks as part of the body.

Cause: the parser decodes chunks and ignores other codings; with one of them at the end it reads until the close. The node removes the field, as it concerns one connection.

Nobody has reported this; it was found while checking each framing.

Change: the only coding that counts is chunked, named once. The node asks for no other one (it sends no TE), so a server that uses one breaks the standard, and the response is malformed. Requests in other codings, whose bytes were passed on undecoded too, get 400.

--- a/src/include/wagtailhead/http_syntax.h
+++ b/src/include/wagtailhead/http_syntax.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <string_view>
+#include <strings.h>
 
 namespace wagtailhead {
 
@@ -59,4 +60,17 @@
     return status >= 100 && status < 200 && status != 101;
 }
 
+/// Returns whether the value of Transfer-Encoding names the chunked coding alone. A body in another coding
+/// cannot be passed on: it would have to be decoded, or be announced to a receiver that has not asked for it.
+/// Thread safe.
+inline auto isChunkedCoding(std::string_view codings) -> bool
+{
+    constexpr std::string_view chunked = "chunked";
+    constexpr std::string_view blanks = " \t";
+    codings.remove_prefix(std::min(codings.find_first_not_of(blanks), codings.size()));
+    codings = codings.substr(0, codings.find_last_not_of(blanks) + 1);
+    return codings.size() == chunked.size()
+        && strncasecmp(codings.data(), chunked.data(), chunked.size()) == 0;
+}
+
 } // namespace wagtailhead
--- a/src/libhttp1/http1_reader.cpp
+++ b/src/libhttp1/http1_reader.cpp
@@ -188,13 +188,28 @@
     return countHeaderBytes(part.size());
 }
 
+auto MessageReader::isHeadValid() const -> bool
+{
+    // The parser accepts a blank in a name: it takes "Content-Length : 2" for a length, others do not.
+    if (parser_.http_major != 1 || !areFieldLines(lines_)) {
+        return false;
+    }
+    const int status = static_cast<int>(parser_.status_code);
+    if (kind_ == Kind::Responses && !isFinalStatus(status) && !isInterimStatus(status)) {
+        return false;
+    }
+    if (parser_.uses_transfer_encoding == 0) {
+        return true;
+    }
+    constexpr auto coding = "Transfer-Encoding";
+    const HeaderBlock fields(lines_);
+    return fields.count(coding) == 1 && isChunkedCoding(fields.find(coding));
+}
+
 auto MessageReader::onHeaders() -> int
 {
     endField();
-    const int status = static_cast<int>(parser_.status_code);
-    const bool known = kind_ == Kind::Requests || isFinalStatus(status) || isInterimStatus(status);
-    // The parser accepts a blank in a name: it takes "Content-Length : 2" for a length, others do not.
-    if (!known || parser_.http_major != 1 || !areFieldLines(lines_)) {
+    if (!isHeadValid()) {
         return refuse();
     }
     inTrailer_ = true;
--- a/src/libhttp1/http1_reader.h
+++ b/src/libhttp1/http1_reader.h
@@ -96,6 +96,8 @@
     auto onBody(std::string_view part) -> int;
     auto onComplete() -> int;
     auto endField() -> void;
+    /// Checks what the parser does not. Precondition: the head is complete.
+    auto isHeadValid() const -> bool;
     /// Checks the bytes up to `end`, which are no data of the body. The parser takes any byte behind a
     /// carriage return for a line feed, and a line feed alone for the end of a line whatever ends the others;
     /// either could end the head in the name of a field.
