fix(http1): a chunk that is longer than its size breaks the response

A server whose chunk holds more than its size says ("2", then "okok") was taken to have sent a complete response, without the bytes that did not fit.

Cause: the parser in its lenient mode skips two bytes behind the data of a chunk, whatever they are.

Nobody has reported this; it was found while checking each framing.

Change: the check of line ends begins behind each chunk with a carriage return. Chunked requests are held to the same.

--- a/src/libhttp1/http1_reader.cpp
+++ b/src/libhttp1/http1_reader.cpp
@@ -3,6 +3,7 @@
 #include "wagtailhead/http_syntax.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wagtailhead::http1 {
 
@@ -71,7 +72,7 @@
     framingBytes_ = 0;
     inValue_ = inField_ = inTrailer_ = false;
     lineEnds_ = LineEnds::Unknown;
-    inLineEnd_ = false;
+    inLineEnd_ = afterChunk_ = false;
     toHead_ = toHead;
 }
 
@@ -116,6 +117,9 @@
 {
     for (; uncheckedFraming_ != end; ++uncheckedFraming_) {
         const bool isLineFeed = *uncheckedFraming_ == '\n';
+        if (std::exchange(afterChunk_, false) && *uncheckedFraming_ != '\r') {
+            return false;
+        }
         if (inLineEnd_ != isLineFeed && (inLineEnd_ || lineEnds_ == LineEnds::CarriageReturnLineFeed)) {
             return false;
         }
@@ -235,6 +239,7 @@
         return refuse();
     }
     uncheckedFraming_ = part.data() + part.size();
+    afterChunk_ = (parser_.flags & F_CHUNKED) != 0 && parser_.content_length == 0;
     if (body_.size() + part.size() > limits_.bodyBytes_) {
         state_ = ReadState::BodyTooLarge;
         return stopParsing;
--- a/src/libhttp1/http1_reader.h
+++ b/src/libhttp1/http1_reader.h
@@ -100,7 +100,8 @@
     auto isHeadValid() const -> bool;
     /// Checks the bytes up to `end`, which are no data of the body. The parser takes any byte behind a
     /// carriage return for a line feed, and a line feed alone for the end of a line whatever ends the others;
-    /// either could end the head in the name of a field.
+    /// either could end the head in the name of a field. It skips two bytes behind a chunk, whatever they
+    /// are.
     auto checkLineEnds(const char* end) -> bool;
     /// Makes the message malformed. Returns a callback's result that stops the parser.
     auto refuse() -> int;
@@ -118,6 +119,7 @@
     const char* uncheckedFraming_ = nullptr; ///< Within the bytes that are being fed.
     LineEnds lineEnds_ = LineEnds::Unknown;
     bool inLineEnd_ = false; ///< Behind a carriage return.
+    bool afterChunk_ = false; ///< Directly behind the data of a chunk.
     std::size_t headerBytes_ = 0;
     std::size_t framingBytes_ = 0; ///< All bytes of the message other than its body.
     bool inValue_ = false;
--- a/src/libhttp1/http1_response_syntax_test.cpp
+++ b/src/libhttp1/http1_response_syntax_test.cpp
@@ -98,8 +98,12 @@
         { "chunks twice", withFields("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", chunks),
             nullptr },
         { "no coding in its field", withFields("Transfer-Encoding: \r\n"), nullptr },
+        { "chunk longer than its size", withFields("Transfer-Encoding: chunked\r\n", "2\r\nokok0\r\n\r\n"),
+            nullptr },
         { "control byte behind a chunk's size",
             withFields("Transfer-Encoding: chunked\r\n", "2;\rXok\r\n0\r\n\r\n"), nullptr },
+        { "chunk size with a sign", withFields("Transfer-Encoding: chunked\r\n", "+2\r\nok\r\n0\r\n\r\n"),
+            nullptr },
     };
     for (const auto& stream : streams) {
         expectAlikeInParts(stream);
