fix(http1): a response without a body is complete although it names a length

A "304 Not Modified" that names the length of the representation, as the standard allows, was awaited until the call timed out, or took the start of the next response for its body.

Cause: the parser reads a body whenever a length is named, unless its user says that there is none.

Nobody has reported this; it was found while checking each framing.

Change: the reader says so for 1xx, 204 and 304, by the function that the writer of responses uses as well.

--- a/src/include/wagtailhead/http_syntax.h
+++ b/src/include/wagtailhead/http_syntax.h
@@ -60,6 +60,12 @@
     return status >= 100 && status < 200 && status != 101;
 }
 
+/// Returns whether a response with this status has no body, whatever its fields say. Thread safe.
+constexpr auto isBodilessStatus(int status) -> bool
+{
+    return (status >= 100 && status < 200) || status == 204 || status == 304;
+}
+
 /// Returns whether the value of Transfer-Encoding names the chunked coding alone. A body in another coding
 /// cannot be passed on: it would have to be decoded, or be announced to a receiver that has not asked for it.
 /// Thread safe.
--- a/src/libhttp1/http1_message.cpp
+++ b/src/libhttp1/http1_message.cpp
@@ -1,16 +1,11 @@
 #include "http1_message.h"
 
+#include "wagtailhead/http_syntax.h"
+
 #include <http_parser.h>
 
 namespace wagtailhead::http1 {
 
-namespace {
-
-constexpr int statusNoContent = 204;
-constexpr int statusNotModified = 304;
-
-} // namespace
-
 auto reasonPhrase(int status) -> const char*
 {
     const auto* text = http_status_str(static_cast<http_status>(status));
@@ -36,7 +31,7 @@
 {
     out.append("HTTP/1.1 ").append(std::to_string(response.status_)).append(" ");
     out.append(reasonPhrase(response.status_)).append("\r\n").append(response.headers_.lines());
-    const bool bodiless = response.status_ == statusNoContent || response.status_ == statusNotModified;
+    const bool bodiless = isBodilessStatus(response.status_);
     if (!bodiless) {
         out.append("Content-Length: ").append(std::to_string(response.body_.size())).append("\r\n");
     }
--- a/src/libhttp1/http1_reader.cpp
+++ b/src/libhttp1/http1_reader.cpp
@@ -222,7 +222,9 @@
         parser_.upgrade = 0; // No other protocol is offered.
     }
     constexpr int noBody = 1;
-    if (toHead_) {
+    // The parser would read a body of the length that a response to a conditional request names.
+    const bool bodiless = kind_ == Kind::Responses && isBodilessStatus(static_cast<int>(parser_.status_code));
+    if (toHead_ || bodiless) {
         return noBody;
     }
     const bool announced = (parser_.flags & F_CONTENTLENGTH) != 0;
--- a/src/libhttp1/http1_response_syntax_test.cpp
+++ b/src/libhttp1/http1_response_syntax_test.cpp
@@ -136,6 +136,8 @@
             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n"
                 + withFields("Content-Length: 2\r\n") },
         { "no content", "HTTP/1.1 204 None\r\n\r\n", "" },
+        { "not modified, with the length of the representation",
+            "HTTP/1.1 304 None\r\nContent-Length: 2\r\n\r\n", "" },
     };
     for (const auto& stream : streams) {
         expectAlikeInParts(stream);
