fix(http1): a response to HEAD does not name a length of 0

A client that asked with HEAD was told "Content-Length: 0" whatever the length of the representation was.

Cause: the length of the backend server's response concerns its connection and is removed, and the writer put the size of the body in its place, which is empty here.

Evidence: http1_message/a_response_to_head_names_no_length_that_it_does_not_know failed on the commit before. Nobody has reported this; it was found while checking HEAD.

Change: without a body the length in a response to HEAD is left out, as the standard allows. Passing the backend server's own length on is not part of this.

--- a/src/libhttp1/http1_message.cpp
+++ b/src/libhttp1/http1_message.cpp
@@ -32,7 +32,9 @@
     out.append("HTTP/1.1 ").append(std::to_string(response.status_)).append(" ");
     out.append(reasonPhrase(response.status_)).append("\r\n").append(response.headers_.lines());
     const bool bodiless = isBodilessStatus(response.status_);
-    if (!bodiless) {
+    // The length that a GET request would have got is not known.
+    const bool lengthKnown = !toHead || !response.body_.empty();
+    if (!bodiless && lengthKnown) {
         out.append("Content-Length: ").append(std::to_string(response.body_.size())).append("\r\n");
     }
     if (!response.keepAlive_) {
--- a/src/libhttp1/http1_message.h
+++ b/src/libhttp1/http1_message.h
@@ -33,9 +33,9 @@
 /// if the request is not `keepAlive_`.
 auto appendRequestHead(std::string& out, const Request& request) -> void;
 
-/// Appends the response as text without its body, with Content-Length. Adds `Connection: close` if it is not
-/// `keepAlive_`. Returns whether the body follows: it is left out for answers to HEAD and for statuses
-/// without one.
+/// Appends the response as text without its body, with Content-Length if its length is known. Adds
+/// `Connection: close` if it is not `keepAlive_`. Returns whether the body follows: it is left out for
+/// answers to HEAD and for statuses without one.
 auto appendResponseHead(std::string& out, const Response& response, bool toHead) -> bool;
 
 /// Appends the response as text.
--- a/src/libhttp1/http1_network_test.cpp
+++ b/src/libhttp1/http1_network_test.cpp
@@ -864,6 +864,19 @@
     cr_assert(listener->stats().readAheadBytes_ == 0, "%zu are left", listener->stats().readAheadBytes_);
 }
 
+// The answer to a HEAD request named a length of 0 whatever the length of the representation was.
+Test(http1_message, a_response_to_head_names_no_length_that_it_does_not_know)
+{
+    Response response;
+    response.status_ = 200;
+    std::string toHead;
+    appendResponse(toHead, response, true);
+    cr_assert(toHead == "HTTP/1.1 200 OK\r\n\r\n", "%s", toHead.c_str());
+    std::string toGet;
+    appendResponse(toGet, response, false);
+    cr_assert(toGet == "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "%s", toGet.c_str());
+}
+
 // Bodies that come in over links share the bound with callers, some of which stop just short of the end of
 // theirs.
 Test(http1_listener, long_requests_from_elsewhere_go_before_those_that_stay_unread)
