fix(http1): bytes that precede a request are not taken for its response

A kept connection that was used again in the turn of the event loop in which its response came carried the next request although more had arrived on it by then: an extra response was taken for the answer to that request. A connection that the server had just closed lost the request instead.

Cause: what arrives on an idle connection is only seen when the event loop next asks for it.

Nobody has reported this; it was found while checking reused connections.

Change: the pool looks at an idle connection (a read that leaves the bytes where they are) before it sends a request on it, and takes another one if anything is there. Bytes that arrive after the request has been sent cannot be told from its response this way.

--- a/src/libhttp1/http1_network_test.cpp
+++ b/src/libhttp1/http1_network_test.cpp
@@ -361,6 +361,64 @@
     }
 }
 
+// As above, and the connection is used again in the same turn of the event loop, before anything can have
+// been read on it.
+Test(http1_pool, a_connection_is_looked_at_before_it_is_used_again)
+{
+    struct Remainder {
+        const char* name_;
+        std::string bytes_;
+        bool closes_;
+    };
+    const Remainder remainders[] = {
+        { "an extra response", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", false },
+        { "part of one", "HTTP/1.1 200", false },
+        { "an extra response and the close", "HTTP/1.1 200 OK\r\n\r\nwrong", true },
+        { "the close", "", true },
+    };
+    for (const auto& remainder : remainders) {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        const auto pool
+            = Pool::create(context, { .server_ = { "127.0.0.1", acceptor.local_endpoint().port() } });
+        asio::ip::tcp::socket peer(context);
+        std::optional<CallResult> second;
+        bool sent = false;
+        pool->send(get([&](const CallResult&) {
+            asio::write(peer, asio::buffer(remainder.bytes_));
+            if (remainder.closes_) {
+                peer.close();
+            }
+            pool->send(get([&](CallResult result) {
+                second = std::move(result);
+            }));
+            sent = true;
+        }));
+        acceptor.accept(peer);
+        asio::write(peer, asio::buffer(std::string(okAnswer)));
+        while (!sent) {
+            context.run_one_for(milliseconds(100));
+        }
+        acceptor.non_blocking(true);
+        asio::ip::tcp::socket other(context);
+        asio::error_code error;
+        const auto end = Clock::now() + patience;
+        do {
+            context.run_for(milliseconds(2));
+            context.restart();
+            acceptor.accept(other, error);
+        } while (error && !second && Clock::now() < end);
+        cr_assert(!error && !second, "%s: not sent on a new connection", remainder.name_);
+        asio::write(other, asio::buffer(std::string(okAnswer)));
+        while (!second && Clock::now() < end) {
+            context.run_for(milliseconds(2));
+            context.restart();
+        }
+        cr_assert(second.has_value(), "%s: no result", remainder.name_);
+        cr_expect(std::get<Response>(*second).body_ == "ok", "%s", remainder.name_);
+    }
+}
+
 namespace {
 
 auto sealedResponse(const std::string& id, const std::string& body, bool keepAlive = true) -> std::string
--- a/src/libhttp1/http1_pool.cpp
+++ b/src/libhttp1/http1_pool.cpp
@@ -53,6 +53,8 @@
     {
         pool_ = nullptr;
     }
+    /// Returns whether nothing has arrived, not even the end of the connection. Precondition: it is idle.
+    auto isQuiet() -> bool;
     auto idleSince() const -> TimePoint
     {
         return idleSince_;
@@ -209,6 +211,14 @@
     }
 }
 
+auto ClientConnection::isQuiet() -> bool
+{
+    char byte = 0;
+    asio::error_code error;
+    socket_.receive(asio::buffer(&byte, sizeof byte), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block || error == asio::error::try_again;
+}
+
 auto ClientConnection::sendRequest() -> void
 {
     sentAt_ = Clock::now();
@@ -425,16 +435,20 @@
 
 auto AsioPool::takeIdle(Duration maxIdle) -> std::shared_ptr<ClientConnection>
 {
-    if (idle_.empty()) {
-        return nullptr;
-    }
-    const auto idleTime = Clock::now() - idle_.back()->idleSince();
-    if (idleTime > maxIdle || idleTime > idle_.back()->idleLimit()) {
-        return nullptr; // The others have been idle for longer.
+    while (!idle_.empty()) {
+        const auto idleTime = Clock::now() - idle_.back()->idleSince();
+        if (idleTime > maxIdle || idleTime > idle_.back()->idleLimit()) {
+            break; // The others have been idle for longer.
+        }
+        auto connection = idle_.back();
+        idle_.pop_back();
+        // What precedes the request would be taken for its response.
+        if (connection->isQuiet()) {
+            return connection;
+        }
+        connection->abandon();
     }
-    auto connection = idle_.back();
-    idle_.pop_back();
-    return connection;
+    return nullptr;
 }
 
 auto AsioPool::send(PoolCall call) -> CallId
