fix(net): an answer whose head begins with a folded line does not end the process

A server whose answer has a blank before its first field ended the process that asked it: a node that calls its backend server, checks its health or uses the store, or wagtailheadctl.

Cause: libcurl 7.88 keeps a pointer to the last field of an answer in the easy handle, frees the field with the next request on that handle, and adds a folded line that comes first to it. The client kept easy handles for later requests.

Change: each request has an easy handle of its own. Connections are kept by the multi handle and are used again as before.

--- a/src/libnet/curl_loop.cpp
+++ b/src/libnet/curl_loop.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Idle easy handles that are kept for later requests.
-constexpr std::size_t maxIdleTransfers = 256;
-
 /// libcurl's default closes idle connections as soon as few requests are running.
 constexpr long minIdleConnections = 256;
 constexpr long idleConnectionsPerHostLimit = 4;
@@ -99,7 +96,11 @@
 
 auto CurlLoop::launch(QueuedRequest request) -> void
 {
-    auto transfer = takeIdleTransfer();
+    // Not one of an earlier request: libcurl (7.88) keeps a pointer to the last field of its answer, which is
+    // freed, and adds a folded first line of the next answer to it.
+    auto transfer = std::make_unique<CurlTransfer>(
+        CurlSocketFunctions { &CurlLoop::openSocket, &CurlLoop::closeSocket, this },
+        options_.connectTimeout_);
     transfer->id_ = request.id_;
     transfer->callback_ = std::move(request.callback_);
     transfer->prepare(request.address_, std::move(request.request_), request.deadline_ - Clock::now());
@@ -141,27 +142,12 @@
     });
 }
 
-auto CurlLoop::takeIdleTransfer() -> std::unique_ptr<CurlTransfer>
-{
-    if (idle_.empty()) {
-        return std::make_unique<CurlTransfer>(
-            CurlSocketFunctions { &CurlLoop::openSocket, &CurlLoop::closeSocket, this },
-            options_.connectTimeout_);
-    }
-    auto transfer = std::move(idle_.back());
-    idle_.pop_back();
-    return transfer;
-}
-
 auto CurlLoop::finish(CURL* easy, CURLcode code) -> Finished
 {
     auto node = active_.extract(CurlTransfer::of(easy).id_);
     auto& [transfer, address] = node.mapped();
     Finished finished { std::move(transfer->callback_), transfer->takeResult(code) };
     curl_multi_remove_handle(multi_, easy);
-    if (idle_.size() < maxIdleTransfers) {
-        idle_.push_back(std::move(transfer));
-    }
     if (auto next = queue_.finish(address)) {
         launch(std::move(*next));
     }
--- a/src/libnet/curl_loop.h
+++ b/src/libnet/curl_loop.h
@@ -11,7 +11,6 @@
 #include <atomic>
 #include <memory>
 #include <unordered_map>
-#include <vector>
 
 namespace wagtailhead {
 
@@ -88,7 +87,6 @@
     /// Ends a running request and starts the next one that waits for the same address.
     auto finish(CURL* easy, CURLcode code) -> Finished;
     auto report(Finished finished) -> void;
-    auto takeIdleTransfer() -> std::unique_ptr<CurlTransfer>;
 
     asio::io_context& context_;
     asio::strand<asio::io_context::executor_type> strand_;
@@ -101,7 +99,6 @@
     bool isShutDown_ = false;
     std::atomic<HttpClient::RequestId> lastId_ = 0;
     std::unordered_map<HttpClient::RequestId, Active> active_;
-    std::vector<std::unique_ptr<CurlTransfer>> idle_;
     std::unordered_map<curl_socket_t, SocketPointer> sockets_;
 };
 
--- a/src/libnet/curl_transfer.cpp
+++ b/src/libnet/curl_transfer.cpp
@@ -89,10 +89,6 @@
 auto CurlTransfer::prepare(const Address& address, HttpRequest request, Duration timeout) -> void
 {
     request_ = std::move(request);
-    response_ = {};
-    connected_ = false;
-    waitedToWrite_ = false;
-    bodyStarted_ = false;
     auto* easy = easy_.get();
     curl_easy_setopt(easy, CURLOPT_URL, ("http://" + address.text() + "/").c_str());
     curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request_.target_.c_str());
@@ -223,7 +219,6 @@
 {
     auto response = std::move(response_);
     const auto sent = mayHaveSent();
-    request_ = {};
     if (code == CURLE_OK) {
         long status = 0;
         curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
--- a/src/libnet/curl_transfer.h
+++ b/src/libnet/curl_transfer.h
@@ -15,8 +15,8 @@
     void* client_ = nullptr;
 };
 
-/// Holds a request with its answer so far, and knows whether any byte of the request can have left.
-/// Reusable for one request after another. Not thread safe.
+/// Holds a request with its answer so far, and knows whether any byte of the request can have left. For one
+/// request. Not thread safe.
 class CurlTransfer {
 public:
     CurlTransfer(const CurlSocketFunctions& sockets, Duration connectTimeout);
@@ -25,7 +25,7 @@
     /// line break.
     static auto canSend(const HttpRequest& request) -> bool;
 
-    /// Prepares the handle. Precondition: canSend(request).
+    /// Prepares the handle. Call it once. Precondition: canSend(request).
     auto prepare(const Address& address, HttpRequest request, Duration timeout) -> void;
 
     auto handle() -> CURL*
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -245,6 +245,25 @@
     cr_assert_eq(server.connections_, 5);
 }
 
+/// Guards against an answer that ends the process: libcurl added the folded first line to a field of the
+/// answer to an earlier request, whose memory it had freed.
+Test(http_client, a_folded_line_without_a_field_before_it_is_survived)
+{
+    const std::string folded = "HTTP/1.1 200 OK\r\n X: folded\r\nContent-Length: 2\r\n\r\nok";
+    RunningContext running;
+    ScriptedServer server([&](RawConnection& peer) {
+        while (!peer.receive().head_.empty() && peer.send(okAnswer) && !peer.receive().head_.empty()
+            && peer.send(folded)) { }
+    });
+    {
+        const auto client = HttpClient::create(running.context_, {});
+        for (int i = 0; i < 20; ++i) {
+            cr_assert_eq(bodyOf(call(*client, server.address(), get())), "ok");
+            call(*client, server.address(), post("x"));
+        }
+    }
+}
+
 /// Guards against a cancelled request that keeps the server busy or reports twice.
 Test(http_client, cancel_closes_the_connection_and_reports_once)
 {
