fix(net): the HTTP client holds answers to the syntax of the standard

The node's calls to its backend server, its health checks, the store's client, wagtailheadctl and the load tool took answers for whole ones whose heads were broken: a line with a blank or control byte in its name was passed on, a line feed or carriage return before a name made the rest of the head the body, "Content-Length : 2" was no length, of two lengths the last one cut the body, "2x" and "+2" were lengths, and a length too large for a number counted as none, so that the close completed the body.

Cause: libcurl checks little of a head, and the client took its lines as they came.

Change: the client reads the status line itself and checks each line of the head and of trailers as well as the framing: one length that is a number, no coding but chunked. A folded value, which was cut at the fold, is passed on with a blank in its place. What fails a check ends the transfer as lost: it may have run, and callers hear so; a write to the store has an unknown effect.

--- a/src/include/wagtailhead/http_syntax.h
+++ b/src/include/wagtailhead/http_syntax.h
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cstdint>
 #include <string_view>
 #include <strings.h>
 
@@ -66,6 +68,15 @@
     return (status >= 100 && status < 200) || status == 204 || status == 304;
 }
 
+/// Returns whether the value of Content-Length is a number that fits into 63 bits. Thread safe.
+inline auto isBodyLength(std::string_view text) -> bool
+{
+    std::int64_t length = 0;
+    const auto* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, length);
+    return result.ec == std::errc {} && result.ptr == end && text.front() != '-';
+}
+
 /// Returns whether the value of Transfer-Encoding names the chunked coding alone. A body in another coding
 /// cannot be passed on: it would have to be decoded, or be announced to a receiver that has not asked for it.
 /// Thread safe.
--- a/src/libnet/curl_transfer.cpp
+++ b/src/libnet/curl_transfer.cpp
@@ -1,7 +1,9 @@
 #include "curl_transfer.h"
 
+#include "wagtailhead/http_syntax.h"
+
 #include <algorithm>
-#include <array>
+#include <charconv>
 #include <strings.h>
 
 namespace wagtailhead {
@@ -38,8 +40,9 @@
 
 auto trim(std::string_view text) -> std::string_view
 {
-    text.remove_prefix(std::min(text.find_first_not_of(" \t\r\n"), text.size()));
-    return text.substr(0, text.find_last_not_of(" \t\r\n") + 1);
+    constexpr auto blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    return text.substr(0, text.find_last_not_of(blanks) + 1);
 }
 
 } // namespace
@@ -184,19 +187,93 @@
 
 auto CurlTransfer::onHeader(char* data, std::size_t, std::size_t length, void* self) -> std::size_t
 {
-    auto& transfer = *static_cast<CurlTransfer*>(self);
-    const std::string_view line(data, length);
-    if (transfer.bodyStarted_) {
-        return length; // A trailer.
+    constexpr std::size_t failTransfer = 0;
+    return static_cast<CurlTransfer*>(self)->takeLine({ data, length }) ? length : failTransfer;
+}
+
+auto CurlTransfer::takeLine(std::string_view line) -> bool
+{
+    const bool returns = line.ends_with("\r\n");
+    if (headPart_ == HeadPart::StatusLine) {
+        carriageReturns_ = returns;
     }
-    if (line.starts_with("HTTP/")) {
-        transfer.response_.headers_.clear(); // The headers so far belong to an interim answer (1xx).
-        return length;
+    // A line feed alone could end the head in the name of a field.
+    if (!line.ends_with('\n') || returns != carriageReturns_) {
+        return false;
     }
-    if (const auto colon = line.find(':'); colon != std::string_view::npos) {
-        transfer.response_.headers_.emplace_back(line.substr(0, colon), trim(line.substr(colon + 1)));
+    line.remove_suffix(returns ? 2 : 1);
+    switch (headPart_) {
+    case HeadPart::StatusLine:
+        return takeStatusLine(line);
+    case HeadPart::Field:
+        return line.empty() ? endHead() : takeField(line);
+    case HeadPart::Trailer:
+        break;
     }
-    return length;
+    // Trailers are not passed on.
+    return line.empty() || isFieldName(line.substr(0, line.find(':')));
+}
+
+auto CurlTransfer::takeStatusLine(std::string_view line) -> bool
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t statusStart = version.size() + 2;
+    constexpr std::size_t statusDigits = 3;
+    response_.headers_.clear(); // The fields so far belong to an interim answer.
+    headPart_ = HeadPart::Field;
+    if (!line.starts_with(version) || line.size() < statusStart + statusDigits
+        || line[statusStart - 1] != ' ') {
+        return false;
+    }
+    const auto status = line.substr(statusStart, line.find(' ', statusStart) - statusStart);
+    const auto* end = status.data() + status.size();
+    const bool isNumber = std::from_chars(status.data(), end, response_.status_).ptr == end;
+    return isNumber && status.size() == statusDigits
+        && (isFinalStatus(response_.status_) || isInterimStatus(response_.status_));
+}
+
+auto CurlTransfer::takeField(std::string_view line) -> bool
+{
+    auto& headers = response_.headers_;
+    if (line.front() == ' ' || line.front() == '\t') {
+        if (headers.empty()) {
+            return false;
+        }
+        headers.back().second.append(" ").append(trim(line));
+        return isFieldValue(headers.back().second);
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    const auto name = line.substr(0, colon);
+    const auto value = trim(line.substr(colon + 1));
+    headers.emplace_back(name, value);
+    return isFieldName(name) && isFieldValue(value);
+}
+
+auto CurlTransfer::endHead() -> bool
+{
+    headPart_ = isInterimStatus(response_.status_) ? HeadPart::StatusLine : HeadPart::Trailer;
+    return headPart_ == HeadPart::StatusLine || hasValidFraming();
+}
+
+auto CurlTransfer::hasValidFraming() const -> bool
+{
+    // libcurl takes the number at the start of a length, the last of several lengths, and decodes some
+    // codings.
+    std::size_t lengths = 0;
+    std::size_t codings = 0;
+    for (const auto& [name, value] : response_.headers_) {
+        const bool isLength = isOneOf(name, { "Content-Length" });
+        const bool isCoding = isOneOf(name, { "Transfer-Encoding" });
+        lengths += isLength ? 1 : 0;
+        codings += isCoding ? 1 : 0;
+        if ((isLength && !isBodyLength(value)) || (isCoding && !isChunkedCoding(value))) {
+            return false;
+        }
+    }
+    return lengths <= 1 && codings <= 1;
 }
 
 auto CurlTransfer::onBody(char* data, std::size_t, std::size_t length, void* self) -> std::size_t
@@ -219,10 +296,7 @@
 {
     auto response = std::move(response_);
     const auto sent = mayHaveSent();
-    if (code == CURLE_OK) {
-        long status = 0;
-        curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
-        response.status_ = static_cast<int>(status);
+    if (code == CURLE_OK && headPart_ == HeadPart::Trailer) {
         return response;
     }
     if (!sent) {
--- a/src/libnet/curl_transfer.h
+++ b/src/libnet/curl_transfer.h
@@ -3,8 +3,10 @@
 
 #include "wagtailhead/http.h"
 
+#include <cstdint>
 #include <curl/curl.h>
 #include <memory>
+#include <string_view>
 
 namespace wagtailhead {
 
@@ -46,6 +48,13 @@
     HttpClient::Callback callback_;
 
 private:
+    /// What the next line of the answer is.
+    enum class HeadPart : std::uint8_t {
+        StatusLine,
+        Field,
+        Trailer,
+    };
+
     struct EasyDeleter {
         auto operator()(CURL* easy) const -> void
         {
@@ -69,6 +78,13 @@
     auto appendHeader(const std::string& line) -> void;
     /// Returns whether a byte of the request may have left.
     auto mayHaveSent() const -> bool;
+    /// Takes a line of the head, or of the trailer, with its end. Returns false if it makes the answer
+    /// invalid.
+    auto takeLine(std::string_view line) -> bool;
+    auto takeStatusLine(std::string_view line) -> bool;
+    auto takeField(std::string_view line) -> bool;
+    auto endHead() -> bool;
+    auto hasValidFraming() const -> bool;
 
     const CurlSocketFunctions sockets_;
     std::unique_ptr<CURL, EasyDeleter> easy_;
@@ -78,6 +94,8 @@
     bool connected_ = false;
     bool waitedToWrite_ = false;
     bool bodyStarted_ = false;
+    HeadPart headPart_ = HeadPart::StatusLine;
+    bool carriageReturns_ = false; ///< End the lines, with line feeds.
 };
 
 } // namespace wagtailhead
