fix(links): a reply whose response is none has an unknown outcome

Beside a process of an earlier version, as in a release that goes from node to node, callers could still get what that process takes for a response: a status outside the classes, or a line with a blank or control byte in its name.

Cause: the node that a caller asks passes on what the node beside the backend server has read, and looked only at the types.

Nobody has reported this.

Frames themselves were right, and a test of that is kept: no part of one is taken for a frame, however the connection ends and whether a write is pending or has failed (frame_stream/part_of_a_frame_is_none_however_the_connection_ends).

The stand-in of link/a_reply_that_comes_twice_answers_one_call sent answers without a status, which no node does; it sends 200 now. The test checks what it did.

--- a/src/libsidecar/frame_stream_test.cpp
+++ b/src/libsidecar/frame_stream_test.cpp
@@ -1,7 +1,8 @@
-/// Tests of the buffers of a link over a connection on loopback.
+/// Tests of frames, and of the buffers of a link, over a connection on loopback.
 #include "frame_stream.h"
 
 #include <asio/io_context.hpp>
+#include <asio/write.hpp>
 #include <criterion/criterion.h>
 
 using namespace wagtailhead;
@@ -108,3 +109,54 @@
     cr_assert(received == sent);
     cr_assert(sender->unsentBytes() == 0);
 }
+
+// Guards against part of a reply that is taken for a whole one: a write that fails takes the error of the
+// socket with it, and the read that follows then reports an orderly close.
+Test(frame_stream, part_of_a_frame_is_none_however_the_connection_ends)
+{
+    constexpr std::size_t unreadBytes = 16000000;
+    ReplyFrame reply { 7, 3, {} };
+    reply.reply_.outcome_ = GateOutcome::Answered;
+    reply.reply_.response_.status_ = 200;
+    reply.reply_.response_.body_ = "body";
+    std::string bytes;
+    appendFrame(bytes, reply);
+    for (const bool writing : { false, true }) {
+        for (const bool reset : { false, true }) {
+            for (const auto size : { std::size_t { 3 }, bytes.size() / 2, bytes.size() - 1 }) {
+                asio::io_context context;
+                asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+                asio::ip::tcp::socket client(context);
+                client.connect(acceptor.local_endpoint());
+                auto peer = acceptor.accept();
+                const auto stream = std::make_shared<FrameStream>(std::move(client));
+                int frames = 0;
+                int ends = 0;
+                stream->start({ [&](const Frame&) {
+                                   ++frames;
+                               },
+                    [&](const std::string&) {
+                        ++ends;
+                    } });
+                StateFrame state;
+                state.config_.assign(writing ? unreadBytes : 1, 'y');
+                stream->send(state);
+                context.run_for(milliseconds(2));
+                asio::write(peer, asio::buffer(bytes, size));
+                if (reset) {
+                    peer.set_option(asio::socket_base::linger(true, 0));
+                    peer.close();
+                } else {
+                    peer.shutdown(asio::ip::tcp::socket::shutdown_send);
+                }
+                const auto end = Clock::now() + seconds(5);
+                while (ends == 0 && Clock::now() < end) {
+                    context.restart();
+                    context.run_for(milliseconds(2));
+                }
+                cr_expect(frames == 0 && ends == 1, "%zu bytes, writing %d, reset %d: %d frames, %d ends",
+                    size, static_cast<int>(writing), static_cast<int>(reset), frames, ends);
+            }
+        }
+    }
+}
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -1,6 +1,7 @@
 #include "link_frames.h"
 
 #include "wagtailhead/boot_clock.h"
+#include "wagtailhead/http_syntax.h"
 
 #include <algorithm>
 #include <cmath>
@@ -372,8 +373,17 @@
     reply.reason_ = static_cast<GateReason>(reason);
     reply.arrived_ = reader.next<bool>();
     reply.response_.status_ = reader.next<int>();
-    reply.response_.headers_ = HeaderBlock(reader.next<std::string>());
+    auto lines = reader.next<std::string>();
     reply.response_.body_ = reader.next<std::string>();
+    if (reply.outcome_ == GateOutcome::Answered
+        && !(isFinalStatus(reply.response_.status_) && areFieldLines(lines))) {
+        // Processes of earlier versions check less of a response.
+        reply.outcome_ = GateOutcome::Unknown;
+        reply.reason_ = GateReason::Malformed;
+        reply.response_ = {};
+        lines.clear();
+    }
+    reply.response_.headers_ = HeaderBlock(std::move(lines));
     reply.load_ = readLoad(reader);
     reply.fromBackend_ = reader.next<bool>();
     reply.load_.failedShare_ = readFailedShare(reader);
--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -159,6 +159,48 @@
 }
 
 // Nodes are upgraded one after the other, so a node reads frames of the version before.
+// The process at the other side may be an earlier version, which takes more bytes for a response.
+Test(link_frames, a_reply_without_a_valid_response_is_no_answer)
+{
+    struct ResponseCase {
+        const char* name_;
+        int status_;
+        const char* lines_;
+        bool valid_;
+    };
+    const ResponseCase cases[] = {
+        { "valid", 200, "A: b\r\nC: \r\n", true },
+        { "no fields", 599, "", true },
+        { "status 0", 0, "", false },
+        { "interim status", 100, "", false },
+        { "status beyond the classes", 600, "", false },
+        { "blank in a name", 200, "A B: c\r\n", false },
+        { "blank before the colon", 200, "A : c\r\n", false },
+        { "control byte in a name", 200, "A\x01: c\r\n", false },
+        { "control byte in a value", 200, "A: \x01\r\n", false },
+        { "the end of the head", 200, "A: b\r\n\r\n", false },
+        { "no colon", 200, "A\r\n", false },
+        { "no end of the line", 200, "A: b", false },
+    };
+    for (const auto& one : cases) {
+        ReplyFrame sent { 7, 3, {} };
+        sent.reply_.outcome_ = GateOutcome::Answered;
+        sent.reply_.arrived_ = true;
+        sent.reply_.response_.status_ = one.status_;
+        sent.reply_.response_.headers_ = HeaderBlock(one.lines_);
+        sent.reply_.response_.body_ = "body";
+        std::string bytes;
+        appendFrame(bytes, sent);
+        std::string_view rest = bytes;
+        const auto frame = takeFrame(rest);
+        const auto& reply = std::get<ReplyFrame>(*valueOf(frame)).reply_;
+        cr_expect(
+            reply.outcome_ == (one.valid_ ? GateOutcome::Answered : GateOutcome::Unknown), "%s", one.name_);
+        cr_expect(reply.reason_ == (one.valid_ ? GateReason::None : GateReason::Malformed), "%s", one.name_);
+        cr_expect(reply.arrived_, "%s", one.name_);
+    }
+}
+
 Test(link_frames, the_share_of_failures_may_be_missing)
 {
     constexpr std::size_t doubleBytes = 9; // With its type.
@@ -395,6 +437,7 @@
     const auto reply = [&](std::uint64_t id, const std::string& body) {
         ReplyFrame frame { id, 0, {} };
         frame.reply_.outcome_ = GateOutcome::Answered;
+        frame.reply_.response_.status_ = 200;
         frame.reply_.response_.body_ = body;
         peer->send(frame);
     };
