--- a/src/libsidecar/health_check_test.cpp
+++ b/src/libsidecar/health_check_test.cpp
@@ -3,6 +3,8 @@
 
 #include "gate_test_support.h"
 
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <criterion/criterion.h>
 
 using namespace wagtailhead;
@@ -10,6 +12,17 @@
 namespace {
 
 struct HealthCheckFixture {
+    explicit HealthCheckFixture(std::shared_ptr<http1::Pool> pool = nullptr)
+        : check_({ pool ? std::move(pool) : pool_, headers_, reports_,
+            [this] {
+                return path_;
+            },
+            [this] {
+                ++serving_;
+            } })
+    {
+    }
+
     auto report(const std::string& id, std::uint64_t sequence, BackendPhase phase = BackendPhase::Ready)
         -> void
     {
@@ -43,13 +56,7 @@
     HeaderNames headers_ = testHeaderNames();
     std::shared_ptr<FakePool> pool_ = std::make_shared<FakePool>();
     BackendReports reports_ { "stock", ReadyEvidence::AnswerOrLaterReport, now_ };
-    HealthCheck check_ { { pool_, headers_, reports_,
-        [this] {
-            return path_;
-        },
-        [this] {
-            ++serving_;
-        } } };
+    HealthCheck check_;
 };
 
 } // namespace
@@ -90,6 +97,37 @@
     }
 }
 
+// Guards against a start that counts as serving by an answer that is none.
+Test(health_check, a_broken_answer_is_no_evidence)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "Content-Length: 2\r\n\r\nok";
+    const std::pair<std::string, bool> answers[] = {
+        { ok + "Instance: i-1\r\n" + body, true },
+        { ok + "Instance : i-1\r\n" + body, false },
+        { ok + " Instance: i-1\r\n" + body, false },
+        { ok + "Instance: i-1\r\nA\nB: c\r\n" + body, false },
+        { ok + "Instance: i-1\r\nContent-Length: 3\r\n\r\nok", false },
+        { ok + "Instance: i-1\r\n\r\nok", false }, // Reset before its end can be told.
+        { "HTTP/1.1 000 None\r\nInstance: i-1\r\n" + body + ok + "Instance: i-1\r\n" + body, false },
+    };
+    for (const auto& [answer, counts] : answers) {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        HealthCheckFixture fixture(
+            http1::Pool::create(context, { .server_ = { "127.0.0.1", acceptor.local_endpoint().port() } }));
+        fixture.report("i-1", 1);
+        auto peer = acceptor.accept();
+        context.run_for(milliseconds(5));
+        asio::write(peer, asio::buffer(answer));
+        peer.set_option(asio::socket_base::linger(true, 0));
+        peer.close();
+        context.restart();
+        context.run_for(milliseconds(20));
+        cr_expect((fixture.serving_ == 1) == counts, "%s", answer.c_str());
+    }
+}
+
 Test(health_check, is_repeated_after_a_pause)
 {
     HealthCheckFixture fixture;
--- a/src/libstore/store_client_test.cpp
+++ b/src/libstore/store_client_test.cpp
@@ -2,6 +2,7 @@
 #include "wagtailhead/store_client.h"
 
 #include "fake_store.h"
+#include "http_test_support.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -282,6 +283,45 @@
     }
 }
 
+/// Guards against part of an answer, or one with a broken head, from which a write is said to have taken
+/// effect or not.
+Test(store_client, a_broken_answer_leaves_the_effect_of_a_write_open)
+{
+    struct BrokenAnswer {
+        const char* name_;
+        std::string bytes_;
+        bool reset_ = true;
+    };
+    const BrokenAnswer answers[] = {
+        { "success without a length", "HTTP/1.1 200 OK\r\n\r\n{\"version\":7}" },
+        { "refusal without a length", "HTTP/1.1 503 Busy\r\n\r\n" },
+        { "conflict without a length", "HTTP/1.1 412 Conflict\r\n\r\n{}" },
+        { "status 000", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", false },
+        { "blank in a name", "HTTP/1.1 503 Busy\r\nRetry After: 1\r\nContent-Length: 0\r\n\r\n", false },
+        { "part of its length", "HTTP/1.1 400 Bad\r\nContent-Length: 5\r\n\r\nbody", false },
+    };
+    for (const auto& answer : answers) {
+        testing::RunningContext running;
+        testing::ScriptedServer server([&](testing::RawConnection& peer) {
+            peer.receive();
+            peer.send(answer.bytes_);
+            if (answer.reset_) {
+                peer.resetOnClose();
+                peer.close();
+            }
+        });
+        const auto http = HttpClient::create(running.context_, {});
+        StoreClient client(*http, { server.address(), generousTimeout });
+        std::promise<StoreResult<StoreVersion>> promise;
+        client.create("k", "1", [&](StoreResult<StoreVersion> result) {
+            promise.set_value(std::move(result));
+        });
+        const auto result = promise.get_future().get();
+        const auto* failure = std::get_if<StoreFailure>(&result);
+        cr_expect(failure != nullptr && failure->error_.code_ == ErrorCode::Timeout, "%s", answer.name_);
+    }
+}
+
 /// Guards against a store that is down being taken for one that may have written.
 Test(store_client, a_refused_connection_is_unavailable)
 {
