style(http1): the usual words for line ends; the precondition of finish()

A reader would have stumbled over "carriage return" and "line feed" in names of several lines; CR, LF and CRLF are the terms of the standard.

--- a/src/libhttp1/http1_reader.cpp
+++ b/src/libhttp1/http1_reader.cpp
@@ -116,15 +116,15 @@
 auto MessageReader::checkLineEnds(const char* end) -> bool
 {
     for (; uncheckedFraming_ != end; ++uncheckedFraming_) {
-        const bool isLineFeed = *uncheckedFraming_ == '\n';
+        const bool isLf = *uncheckedFraming_ == '\n';
         if (std::exchange(afterChunk_, false) && *uncheckedFraming_ != '\r') {
             return false;
         }
-        if (inLineEnd_ != isLineFeed && (inLineEnd_ || lineEnds_ == LineEnds::CarriageReturnLineFeed)) {
+        if (inLineEnd_ != isLf && (inLineEnd_ || lineEnds_ == LineEnds::Crlf)) {
             return false;
         }
-        if (isLineFeed && lineEnds_ == LineEnds::Unknown) {
-            lineEnds_ = inLineEnd_ ? LineEnds::CarriageReturnLineFeed : LineEnds::LineFeed;
+        if (isLf && lineEnds_ == LineEnds::Unknown) {
+            lineEnds_ = inLineEnd_ ? LineEnds::Crlf : LineEnds::Lf;
         }
         inLineEnd_ = *uncheckedFraming_ == '\r';
     }
@@ -194,7 +194,7 @@
 
 auto MessageReader::isHeadValid() const -> bool
 {
-    // The parser accepts a blank in a name: it takes "Content-Length : 2" for a length, others do not.
+    // The parser accepts a blank in a name, and takes "Content-Length : 2" for a length.
     if (parser_.http_major != 1 || !areFieldLines(lines_)) {
         return false;
     }
@@ -222,7 +222,7 @@
         parser_.upgrade = 0; // No other protocol is offered.
     }
     constexpr int noBody = 1;
-    // The parser would read a body of the length that a response to a conditional request names.
+    // The parser would read a body if a length is named, as in a 304.
     const bool bodiless = kind_ == Kind::Responses && isBodilessStatus(static_cast<int>(parser_.status_code));
     if (toHead_ || bodiless) {
         return noBody;
--- a/src/libhttp1/http1_reader.h
+++ b/src/libhttp1/http1_reader.h
@@ -51,7 +51,8 @@
     /// Takes bytes and returns how many belong to the message; the rest follows it.
     auto feed(std::string_view bytes) -> std::size_t;
 
-    /// Tells that the connection was closed in order: it completes a response without a length.
+    /// Marks the orderly close of the connection, which completes a response without a length. Precondition:
+    /// no write to the connection has failed, after which a reset reads as an orderly close.
     auto finish() -> void;
 
     auto state() const -> ReadState
@@ -85,8 +86,8 @@
 private:
     enum class LineEnds : std::uint8_t {
         Unknown, ///< No line has ended.
-        LineFeed,
-        CarriageReturnLineFeed,
+        Lf,
+        Crlf,
     };
 
     static auto callbacks() -> const http_parser_settings&;
@@ -98,10 +99,9 @@
     auto endField() -> void;
     /// Checks what the parser does not. Precondition: the head is complete.
     auto isHeadValid() const -> bool;
-    /// Checks the bytes up to `end`, which are no data of the body. The parser takes any byte behind a
-    /// carriage return for a line feed, and a line feed alone for the end of a line whatever ends the others;
-    /// either could end the head in the name of a field. It skips two bytes behind a chunk, whatever they
-    /// are.
+    /// Checks the ends of lines in the bytes up to `end`, which are no data of the body. The parser takes any
+    /// byte behind a CR for the LF, and an LF alone for the end of a line whatever ends the others; either
+    /// could end the head in the name of a field. It skips two bytes behind a chunk, whatever they are.
     auto checkLineEnds(const char* end) -> bool;
     /// Makes the message malformed. Returns a callback's result that stops the parser.
     auto refuse() -> int;
@@ -118,7 +118,7 @@
     MemoryCharge charge_;
     const char* uncheckedFraming_ = nullptr; ///< Within the bytes that are being fed.
     LineEnds lineEnds_ = LineEnds::Unknown;
-    bool inLineEnd_ = false; ///< Behind a carriage return.
+    bool inLineEnd_ = false; ///< Behind a CR.
     bool afterChunk_ = false; ///< Directly behind the data of a chunk.
     std::size_t headerBytes_ = 0;
     std::size_t framingBytes_ = 0; ///< All bytes of the message other than its body.
--- a/src/libnet/curl_transfer.cpp
+++ b/src/libnet/curl_transfer.cpp
@@ -193,15 +193,15 @@
 
 auto CurlTransfer::takeLine(std::string_view line) -> bool
 {
-    const bool returns = line.ends_with("\r\n");
+    const bool inCrlf = line.ends_with("\r\n");
     if (headPart_ == HeadPart::StatusLine) {
-        carriageReturns_ = returns;
+        linesEndInCrlf_ = inCrlf;
     }
-    // A line feed alone could end the head in the name of a field.
-    if (!line.ends_with('\n') || returns != carriageReturns_) {
+    // An LF alone could end the head in the name of a field.
+    if (!line.ends_with('\n') || inCrlf != linesEndInCrlf_) {
         return false;
     }
-    line.remove_suffix(returns ? 2 : 1);
+    line.remove_suffix(inCrlf ? 2 : 1);
     switch (headPart_) {
     case HeadPart::StatusLine:
         return takeStatusLine(line);
--- a/src/libnet/curl_transfer.h
+++ b/src/libnet/curl_transfer.h
@@ -95,7 +95,7 @@
     bool waitedToWrite_ = false;
     bool bodyStarted_ = false;
     HeadPart headPart_ = HeadPart::StatusLine;
-    bool carriageReturns_ = false; ///< End the lines, with line feeds.
+    bool linesEndInCrlf_ = false;
 };
 
 } // namespace wagtailhead
