test(http1, health_check): wait for what happened, not for a time

Two new tests ran the event loop for some milliseconds before the stand-in answered. Beside load the request might not have been sent by then, and a complete answer would have counted as lost. They wait until the request has arrived, and until the connection is closed, for 5 s at most.

--- a/src/libhttp1/http1_early_response_test.cpp
+++ b/src/libhttp1/http1_early_response_test.cpp
@@ -72,6 +72,10 @@
         acceptor_.accept(peer_);
         peer_.non_blocking(true);
     }
+    auto hasReceived() const -> bool
+    {
+        return peer_.available() > 0;
+    }
     auto send(const std::string& bytes) -> void
     {
         asio::write(peer_, asio::buffer(bytes));
@@ -127,13 +131,15 @@
     };
     pool->send(std::move(call));
     server.accept();
-    runFor(context, milliseconds(5));
+    const auto limit = Clock::now() + patience;
+    while (!server.hasReceived() && Clock::now() < limit) {
+        runFor(context, milliseconds(1));
+    }
     server.send(early.bytes_);
     if (progress != Progress::NothingRead) {
         runFor(context, milliseconds(5));
     }
     server.end(end);
-    const auto limit = Clock::now() + patience;
     while (!result && Clock::now() < limit) {
         runFor(context, milliseconds(1));
         if (server.isOpen()) {
--- a/src/libsidecar/health_check_test.cpp
+++ b/src/libsidecar/health_check_test.cpp
@@ -114,16 +114,27 @@
     for (const auto& [answer, counts] : answers) {
         asio::io_context context;
         asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-        HealthCheckFixture fixture(
-            http1::Pool::create(context, { .server_ = { "127.0.0.1", acceptor.local_endpoint().port() } }));
+        const auto pool
+            = http1::Pool::create(context, { .server_ = { "127.0.0.1", acceptor.local_endpoint().port() } });
+        HealthCheckFixture fixture(pool);
         fixture.report("i-1", 1);
         auto peer = acceptor.accept();
-        context.run_for(milliseconds(5));
+        const auto end = Clock::now() + seconds(5);
+        const auto runWhile = [&](const std::function<bool()>& goesOn) {
+            while (goesOn() && Clock::now() < end) {
+                context.run_for(milliseconds(2));
+                context.restart();
+            }
+        };
+        runWhile([&] {
+            return peer.available() == 0;
+        });
         asio::write(peer, asio::buffer(answer));
         peer.set_option(asio::socket_base::linger(true, 0));
         peer.close();
-        context.restart();
-        context.run_for(milliseconds(20));
+        runWhile([&] {
+            return pool->stats().open_ > 0;
+        });
         cr_expect((fixture.serving_ == 1) == counts, "%s", answer.c_str());
     }
 }
