--- a/src/libnet/curl_loop.cpp
+++ b/src/libnet/curl_loop.cpp
@@ -96,8 +96,8 @@
 
 auto CurlLoop::launch(QueuedRequest request) -> void
 {
-    // Not one of an earlier request: libcurl (7.88) keeps a pointer to the last field of its answer, which is
-    // freed, and adds a folded first line of the next answer to it.
+    // With a handle that has served a request, libcurl (7.88) would add a folded first line of the answer to
+    // a field of the earlier answer, which it has freed.
     auto transfer = std::make_unique<CurlTransfer>(
         CurlSocketFunctions { &CurlLoop::openSocket, &CurlLoop::closeSocket, this },
         options_.connectTimeout_);
--- a/src/libnet/curl_transfer.h
+++ b/src/libnet/curl_transfer.h
@@ -17,8 +17,8 @@
     void* client_ = nullptr;
 };
 
-/// Holds a request with its answer so far, and knows whether any byte of the request can have left. For one
-/// request. Not thread safe.
+/// Holds one request with its answer so far, and whether any byte of the request can have left. Not thread
+/// safe.
 class CurlTransfer {
 public:
     CurlTransfer(const CurlSocketFunctions& sockets, Duration connectTimeout);
