--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -116,6 +116,7 @@
         self.bed, self.address = bed, address
         self.objects, self.events, self.revision = {}, [], 1
         self.changed = asyncio.Event()
+        self.silent = False  # Calls are neither carried out nor answered; their channels carry nothing further.
 
     async def start(self):
         self.server = await asyncio.start_server(self.channel, *self.address, limit=HEAD)
@@ -129,6 +130,8 @@
                 method, target, _ = first.split(" ")
                 body = await read_body(reader, fields)
                 await asyncio.sleep(0.004)
+                while self.silent:
+                    await asyncio.sleep(3600)
                 status, value = await self.answer(method, target, json.loads(body) if body else {})
                 writer.write(response_bytes(status, {"Content-Type": "application/json"}, json.dumps(value).encode()))
                 await writer.drain()
@@ -266,7 +269,8 @@
                     return
                 method, target, _ = first.split(" ")
                 if target == "/health":
-                    writer.write(response_bytes(200, {"X-Wagtailhead-Instance-Id": self.id}))
+                    status = 200 if self.state == "ready" else 503
+                    writer.write(response_bytes(status, {"X-Wagtailhead-Instance-Id": self.id}))
                     continue
                 if not await self.handle(method, target, fields, reader, writer):
                     return
