Review: case 13 has two zones in two regions

Tried: four machines in one zone, its two watchers partitioned from the store, two machines in another region.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""The machines that watch the configuration are partitioned from the store, and the operator moves a route."""
+"""The two machines that watch the configuration for their zone are partitioned from the store; a route moves."""
 import asyncio
 import os
 import sys
@@ -7,21 +7,23 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common-3"))
 from bed import BOUNDS, BROKEN, OK, TROUBLE, UNABLE, Client, now, play  # noqa: E402
 
-ZONES = {"riga-a": "riga"}
+ZONES = {"riga-a": "riga", "kurzeme-a": "kurzeme"}
 CUT_S = 5.5
 
 
 async def case(bed):
-    for number, service in enumerate(("katalogs", "krajums", "katalogs", "krajums", "katalogs", "krajums")):
-        bed.add(f"sidecar-riga-a-{number + 1}", "riga-a", service)
+    for zone, services in (("riga-a", ("katalogs", "krajums", "katalogs", "krajums")),
+                           ("kurzeme-a", ("katalogs", "krajums"))):
+        for number, service in enumerate(services):
+            bed.add(f"sidecar-{zone}-{number + 1}", zone, service)
     names = ["katalogs", "krajums"]
     route = lambda service: [("shop.example", "/stock/", "safe", service, 1, 0.4, 1)]  # noqa: E731
     bed.configure(7, route("katalogs"), names)
     await bed.start()
-    watchers = [machine for machine in bed.machines if machine.relay.watched_at is not None]
-    bed.say("watching the store: " + ", ".join(machine.name for machine in watchers))
-    if not watchers or len(watchers) > 2:
-        return UNABLE, f"{len(watchers)} machines watch the store"
+    watchers = [machine for machine in bed.machines if machine.relay.watched_at is not None and machine.zone == "riga-a"]
+    bed.say("watching the store for riga-a: " + ", ".join(machine.name for machine in watchers))
+    if len(watchers) != 2:
+        return UNABLE, f"{len(watchers)} machines of riga-a watch the store"
     calm = [machine for machine in bed.machines if machine not in watchers]
     clients = [Client(bed, machine) for machine in calm]
     for client in clients:
