--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -235,6 +235,39 @@
             writer.close()
 
 
+class NarrowLink:
+    """A proxy in front of a node's port for other nodes: the machine's link, with its rate each way for all channels."""
+
+    def __init__(self, target, bytes_per_s):
+        self.target, self.rate, self.free_at = target, bytes_per_s, {True: 0.0, False: 0.0}
+
+    async def start(self, address):
+        self.server = await asyncio.start_server(self.channel, *address, limit=HEAD)
+
+    async def channel(self, reader, writer):
+        other = None
+        try:
+            back, other = await asyncio.open_connection(*self.target, limit=HEAD)
+            await asyncio.gather(self.pump(reader, other, True), self.pump(back, writer, False))
+        except OSError:
+            pass
+        finally:
+            writer.close()
+            if other:
+                other.close()
+
+    async def pump(self, reader, writer, inward):
+        try:
+            while data := await reader.read(HEAD):
+                at = max(self.free_at[inward], time.monotonic()) + len(data) / self.rate
+                self.free_at[inward] = at
+                await asyncio.sleep(at - time.monotonic())
+                writer.write(data)
+                await writer.drain()
+        finally:
+            writer.close()
+
+
 # ---- backends
 
 class Backend:
@@ -336,6 +369,7 @@
             (ip, bed.port + i) for i in range(6))
         self.relay = Relay(bed.store.address)
         self.first_start, self.process = True, None
+        self.memory_mb, self.link_mbps, self.announced = 260, 1000.0, None
 
     def settings(self):
         text = lambda address: "%s:%d" % address  # noqa: E731
@@ -343,8 +377,8 @@
             "self": {"nodeName": self.name, "nodeRole": "sidecar", "machineClass": "sidecar", "serves": ["sidecar"],
                      "ipAddr": self.ip, "zone": self.zone, "region": self.region, "countsTowardLoss": False,
                      "bootstrap": self.first_start, "dataDir": None,
-                     "limits": {"cpuShare": 0.4, "cpuCores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0,
-                                "diskMb": 0},
+                     "limits": {"cpuShare": 0.4, "cpuCores": 1, "memoryMb": self.memory_mb, "maxFds": 4100,
+                                "linkMbps": self.link_mbps, "diskMb": 0},
                      "appAddr": text(self.app), "service": self.service},
             "network": {"listen": {"inbound": text(self.inbound), "outbound": text(self.outbound),
                                    "ready": text(self.ready), "control": text(self.control)},
@@ -363,9 +397,11 @@
             json.dump(self.settings(), out)
         os.replace(path + ".new", path)
         log = open(os.path.join(self.bed.folder, self.name + ".log"), "ab")
+        variables = {"WAGTAILHEAD_BOOT": path, "PATH": os.environ.get("PATH", "")}
+        if self.announced:  # Other nodes reach this one through the proxy.
+            variables["WAGTAILHEAD_ANNOUNCE_LINK"] = "%s:%d" % self.announced
         self.process = subprocess.Popen(COMMAND, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log,
-                                        stderr=subprocess.STDOUT,
-                                        env={"WAGTAILHEAD_BOOT": path, "PATH": os.environ.get("PATH", "")})
+                                        stderr=subprocess.STDOUT, env=variables)
         log.close()
         self.first_start = False
 
@@ -373,6 +409,19 @@
         if self.process and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def narrow_link(self, mbps):
+        """Puts the rate of the machine's link between it and the other nodes. Call it before the start."""
+        self.link_mbps, self.announced = mbps, (f"127.{self.bed.net}.{int(self.ip.split('.')[2]) + 100}.1", self.inbound[1])
+        return NarrowLink(self.inbound, mbps * 1e6 / 8).start(self.announced)
+
+    def peak_mib(self):
+        """The peak of the process's resident memory, or 0 if it has ended."""
+        try:
+            with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as status:
+                return next(int(line.split()[1]) / 1024 for line in status if line.startswith("VmHWM"))
+        except (OSError, StopIteration):
+            return 0
+
     async def is_ready(self):
         answer = await one_call(self.ready, "GET", "/-/ready", limit=0.9)
         return answer is not None and answer[0] == 200
