fix(sidecar): nodes follow the store in time whichever watchers lose it

Cause: three waits in a row that nothing tied to the bound. A watcher noticed the cut by a check every 2 s that may take 1.5 s, said until then that it reached the store, and after its last such word others stepped in after 2.5 s, two at a time, every 1.5 s.

Change: what counts is how old the last read of the store is, not whether a watcher believes that it reaches it. - Heartbeats carry the age of the sender's last read in CLOCK_BOOTTIME; the receiver adds the time in transit. So a watcher that is cut, slow, turned away, paused or gone stops counting by itself, whatever it says. - A node steps in when the last read that it has heard of, from a node with its own version, is older than 0.55 of the bound: two nodes, then four, eight and all others, 0.065 of the bound apart. The last quarter of the bound is for their own reads. They start from a current list, and stay until two nodes before them have been steady for twice the bound. - Watchers check their watch after 0.3 of the bound, at most 2 s, and send a heartbeat with each read. - The bound is configApplyS of the settings, also after a reload. - In an outage, nodes that have stepped in pause from their second failure on for 0.5 s a node of the zone. - The entries of the nodes come by the same path: nodes that have stepped in list and watch them too, and a watch that waited while the store was away is replaced, as its answer may be lost.

--- a/src/include/wagtailhead/sidecar.h
+++ b/src/include/wagtailhead/sidecar.h
@@ -41,6 +41,8 @@
     std::size_t sockets_ = 0; ///< Most open sockets of the process; 0 if there is no limit.
     std::size_t memoryBytes_ = 0; ///< The process is killed beyond it; 0 if there is no limit.
     Duration stopTime_ = seconds(6); ///< From SIGTERM to SIGKILL.
+    /// Each node follows a configuration so long after the store has confirmed it, at the latest.
+    Duration applyBound_ = milliseconds(2500);
     /// Requests go where they are expected to complete first, in deployments with cost control; otherwise by
     /// the share of slots in use.
     bool completionPlacement_ = false;
--- a/src/libsidecar/kind_watch.cpp
+++ b/src/libsidecar/kind_watch.cpp
@@ -1,5 +1,6 @@
 #include "kind_watch.h"
 
+#include "wagtailhead/boot_clock.h"
 #include "wagtailhead/log.h"
 
 #include <algorithm>
@@ -14,13 +15,11 @@
 constexpr Duration watchWait = seconds(30);
 /// After a failed call the store has to answer at once, which shows that it is there again.
 constexpr Duration watchWaitAfterFailure = milliseconds(1);
-/// Shortest interval between checks of a waiting watch. With the time that a check may take it stays below
-/// the time in which nodes have to follow the store again after an outage.
-constexpr Duration shortestCheckInterval = seconds(2);
-/// Pauses after failed calls: from the first to the longest, doubling. The longest keeps the time to
-/// recovery after an outage of the store under two seconds.
+/// A watch goes on from the revision of the last answer only if that is younger: the store keeps its history
+/// for a limited time.
+constexpr Duration recentAnswer = seconds(2);
+/// Pauses after failed calls: from the first on, doubling.
 constexpr Duration firstPause = milliseconds(200);
-constexpr Duration longestPause = milliseconds(1000);
 constexpr int mostDoublings = 3;
 
 constexpr std::array<const char*, 5> errorNames { "history-gone", "conflict", "not-found", "refused",
@@ -33,11 +32,11 @@
     return errorNames.at(static_cast<std::size_t>(error));
 }
 
-KindWatch::KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, Duration batch,
-    std::uint64_t seed, KindWatchEvents events)
+KindWatch::KindWatch(asio::io_context& context, ObjectStore& store, std::string kind,
+    const KindWatchPace& pace, std::uint64_t seed, KindWatchEvents events)
     : store_(store)
     , kind_(std::move(kind))
-    , batch_(batch)
+    , pace_(pace)
     , events_(std::move(events))
     , timer_(context)
     , random_(seed)
@@ -53,14 +52,24 @@
 
 auto KindWatch::setHeld(bool held) -> void
 {
-    held_ = held;
-    nextCheck_ = {}; // What was lost is most likely known as soon as the store is there again.
+    if (std::exchange(held_, held) && !held && watchId_ != 0) {
+        cancelWatch();
+        busy_ = false;
+    }
     proceed();
 }
 
 auto KindWatch::setWatching(bool watching) -> void
 {
+    const bool starts = watching && !watching_;
     watching_ = watching;
+    if (starts && bootNow() - answeredAt_ > recentAnswer) {
+        listed_ = false;
+        if (watchId_ != 0) {
+            cancelWatch();
+            busy_ = false;
+        }
+    }
     proceed();
 }
 
@@ -108,7 +117,8 @@
 {
     busy_ = true;
     const auto requestedAt = Clock::now();
-    auto onDone = [self = shared_from_this(), requestedAt](std::variant<StoredList, StoreError> result) {
+    auto onDone = [self = shared_from_this(), requestedAt, sentAt = bootNow()](
+                      std::variant<StoredList, StoreError> result) {
         self->busy_ = false;
         if (self->stopped_) {
             return;
@@ -126,6 +136,7 @@
         self->listWanted_ = false;
         const auto freshness = std::exchange(self->freshness_, Freshness::Current);
         self->events_.onList_({ std::move(listed.objects_), freshness, requestedAt });
+        self->onAnswer(sentAt, freshness);
         self->proceed();
     };
     store_.list(kind_, freshness_, std::move(onDone));
@@ -134,17 +145,31 @@
 auto KindWatch::watch() -> void
 {
     busy_ = true;
-    nextCheck_ = Clock::now() + std::max(batch_, shortestCheckInterval);
-    watchId_ = store_.watch(kind_, revision_, failures_ == 0 ? watchWait : watchWaitAfterFailure,
-        [self = shared_from_this()](std::variant<StoredChanges, StoreError> result) {
+    const bool answersAtOnce = failures_ > 0;
+    watchId_ = store_.watch(kind_, revision_, answersAtOnce ? watchWaitAfterFailure : watchWait,
+        [self = shared_from_this(), answersAtOnce, sentAt = bootNow()](
+            const std::variant<StoredChanges, StoreError>& result) {
             self->watchId_ = 0;
             self->busy_ = false;
-            if (!self->stopped_) {
-                self->onWatchResult(result);
+            if (self->stopped_) {
+                return;
+            }
+            self->onWatchResult(result);
+            if (answersAtOnce && std::holds_alternative<StoredChanges>(result)) {
+                self->onAnswer(sentAt, Freshness::Current);
             }
         });
 }
 
+auto KindWatch::onAnswer(TimePoint sentAt, Freshness freshness) -> void
+{
+    answeredAt_ = std::max(answeredAt_, sentAt);
+    nextCheck_ = Clock::now() + pace_.checkInterval_ - (bootNow() - sentAt);
+    if (events_.onRead_ && freshness == Freshness::Current) {
+        events_.onRead_(sentAt);
+    }
+}
+
 auto KindWatch::onWatchResult(const std::variant<StoredChanges, StoreError>& result) -> void
 {
     if (const auto* error = std::get_if<StoreError>(&result)) {
@@ -166,14 +191,14 @@
     if (changes.changes_.empty()) {
         proceed();
     } else {
-        pause(batch_);
+        pause(pace_.batch_);
     }
 }
 
 auto KindWatch::tick(TimePoint now) -> void
 {
     if (watchId_ != 0 && watching_ && !held_ && !checking_ && now >= nextCheck_) {
-        nextCheck_ = now + std::max(batch_, shortestCheckInterval);
+        nextCheck_ = now + pace_.checkInterval_;
         check();
     }
 }
@@ -182,12 +207,20 @@
 {
     checking_ = true;
     store_.changesSoFar(kind_, revision_,
-        [self = shared_from_this(), checked = watchId_](
+        [self = shared_from_this(), checked = watchId_, sentAt = bootNow()](
             const std::variant<StoredChanges, StoreError>& result) {
             self->checking_ = false;
-            if (!self->stopped_ && self->watchId_ == checked) {
+            if (self->stopped_) {
+                return;
+            }
+            if (self->watchId_ == checked) {
                 self->onCheckResult(result);
             }
+            const auto* changes = std::get_if<StoredChanges>(&result);
+            if (changes != nullptr && (changes->changes_.empty() || changes->revision_ <= self->revision_)) {
+                // A stale read, but the watch that waits beside it is not.
+                self->onAnswer(sentAt, Freshness::Current);
+            }
         });
 }
 
@@ -221,8 +254,11 @@
 
 auto KindWatch::pauseAfterFailure() -> void
 {
-    const auto longest = std::min(firstPause * (1 << std::min(failures_, mostDoublings)), longestPause);
-    ++failures_;
+    auto longest
+        = std::min<Duration>(firstPause * (1 << std::min(failures_, mostDoublings)), pace_.longestPause_);
+    if (failures_++ > 0 && pace_.patient_) {
+        longest = pace_.longestPause_;
+    }
     std::uniform_real_distribution<> jitter(0.7, 1.0);
     pause(std::chrono::duration_cast<Duration>(longest * jitter(random_)));
 }
--- a/src/libsidecar/kind_watch.h
+++ b/src/libsidecar/kind_watch.h
@@ -24,6 +24,22 @@
     std::function<void(const StoredChange& change)> onChange_;
     /// The store was lost or is there again.
     std::function<void(bool reachable)> onReachable_;
+    /// The store has answered a call that was sent at this bootNow() time, so what it confirmed until then
+    /// has been reported or is about to be reported by the waiting watch. Runs after the changes of that
+    /// answer.
+    std::function<void(TimePoint sentAt)> onRead_ {};
+};
+
+/// How often a kind is read; each call is paid for.
+struct KindWatchPace {
+    /// After changes it waits for this time before it watches again.
+    Duration batch_ {};
+    /// A waiting watch is checked so long after the last answer.
+    Duration checkInterval_ = seconds(2);
+    /// Longest pause after failed calls.
+    Duration longestPause_ = seconds(1);
+    /// Whether pauses are the longest ones from the second failure on.
+    bool patient_ = false;
 };
 
 /// Lists, then watches as long as it is told to, and starts over when the history is gone. The answer to a
@@ -32,17 +48,22 @@
 /// repeated at a bounded rate, since each is paid for. All members run in the context's single thread.
 class KindWatch : public std::enable_shared_from_this<KindWatch> {
 public:
-    /// After changes it waits for `batch` before it watches again: each watch is paid for. A waiting watch is
-    /// checked no more often than that.
-    KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, Duration batch,
+    KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, const KindWatchPace& pace,
         std::uint64_t seed, KindWatchEvents events);
 
     /// Lists the objects after `delay`, and again until that succeeds or skipList() is called. Later lists,
     /// after the history was lost, are current ones.
     auto start(Duration delay, Freshness freshness) -> void;
-    /// Makes no calls while held, for example while the store is known to be unreachable.
+    /// Applies from the next call or pause on.
+    auto setPace(const KindWatchPace& pace) -> void
+    {
+        pace_ = pace;
+    }
+    /// Makes no calls while held, for example while the store is known to be unreachable. The watch that
+    /// waited meanwhile is replaced, since its answer may have been lost.
     auto setHeld(bool held) -> void;
-    /// Whether to watch for changes. A watch under way is awaited all the same: it is paid for already.
+    /// Whether to watch for changes. Starts with a current list unless the store has answered just before. A
+    /// watch under way at the end is awaited all the same: it is paid for already.
     auto setWatching(bool watching) -> void;
     /// The objects are known from elsewhere. They are only listed before the next watch.
     auto skipList() -> void;
@@ -62,6 +83,8 @@
     auto watch() -> void;
     auto onWatchResult(const std::variant<StoredChanges, StoreError>& result) -> void;
     auto check() -> void;
+    /// The store has answered a call that was sent at this bootNow() time.
+    auto onAnswer(TimePoint sentAt, Freshness freshness) -> void;
     auto onCheckResult(const std::variant<StoredChanges, StoreError>& result) -> void;
     auto cancelWatch() -> void;
     auto pauseAfterFailure() -> void;
@@ -70,13 +93,14 @@
 
     ObjectStore& store_;
     std::string kind_;
-    Duration batch_;
+    KindWatchPace pace_;
     KindWatchEvents events_;
     asio::steady_timer timer_;
     std::mt19937_64 random_;
     std::uint64_t revision_ = 0;
     ObjectStore::WatchId watchId_ = 0; ///< Of the waiting watch; 0 if there is none.
-    TimePoint nextCheck_;
+    TimePoint nextCheck_; ///< Of the waiting watch.
+    TimePoint answeredAt_; ///< When the last call that was answered had been sent, in bootNow() time.
     int failures_ = 0; ///< In a row.
     Freshness freshness_ = Freshness::Current; ///< Of the next list.
     bool held_ = false;
--- a/src/libsidecar/link_client.cpp
+++ b/src/libsidecar/link_client.cpp
@@ -1,6 +1,7 @@
 #include "link_client.h"
 
 #include "socket_options.h"
+#include "transit_delay.h"
 #include "wagtailhead/boot_clock.h"
 #include "wagtailhead/log.h"
 
@@ -99,6 +100,7 @@
     std::unique_ptr<asio::ip::tcp::socket> connecting_;
     std::uint64_t incarnation_ = 0;
     bool grantsRoom_ = false;
+    TransitDelay transit_; ///< Of what arrives.
     std::unordered_map<CallId, PendingCall> calls_;
     std::unordered_map<CallId, PendingFence> fences_;
     std::vector<Frame> unsentOthers_;
@@ -200,7 +202,8 @@
         owner_.events_.onState_(node_, std::move(*state));
     } else if (const auto* entry = std::get_if<EntryFrame>(&frame)) {
         owner_.events_.onEntry_(entry->entry_);
-    } else if (const auto* heartbeat = std::get_if<BeatFrame>(&frame)) {
+    } else if (auto* heartbeat = std::get_if<BeatFrame>(&frame)) {
+        addTransitTime(*heartbeat, transit_);
         owner_.events_.onHeartbeat_(node_, *heartbeat);
     } else if (const auto* load = std::get_if<LoadFrame>(&frame)) {
         owner_.events_.onLoad_(node_, load->load_);
--- a/src/libsidecar/link_frames.cpp
+++ b/src/libsidecar/link_frames.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t maxNesting = 8;
 /// A request does not take longer.
 constexpr double mostCostMs = 3.6e6;
+/// The age of the last read of the store, in microseconds, of a node that has not read it.
+constexpr std::int64_t neverRead = -1;
 
 /// Appends to a string as msgpack's stream type.
 struct StringStream {
@@ -256,7 +258,8 @@
 auto pack(StringStream& stream, const BeatFrame& frame) -> void
 {
     packAll(stream, typeNumber<BeatFrame>(), frame.configVersion_, frame.watching_, frame.storeReachable_,
-        frame.entriesDigest_);
+        frame.entriesDigest_, frame.storeReadAge_ ? microsecondsOf(*frame.storeReadAge_) : neverRead,
+        frame.sentAtUs_);
 }
 
 auto pack(StringStream& stream, const QuotaAskFrame& frame) -> void
@@ -280,16 +283,6 @@
     packWithLoad(stream, typeNumber<RoomReplyFrame>(), frame.load_, frame.id_, frame.granted_);
 }
 
-auto readBeat(ArrayReader& reader) -> BeatFrame
-{
-    BeatFrame frame;
-    frame.configVersion_ = reader.next<std::uint64_t>();
-    frame.watching_ = reader.next<bool>();
-    frame.storeReachable_ = reader.next<bool>();
-    frame.entriesDigest_ = reader.next<std::uint64_t>();
-    return frame;
-}
-
 auto readCalls(int value) -> CallsMade
 {
     if (value < 0 || value > static_cast<int>(CallsMade::Some)) {
@@ -305,6 +298,25 @@
     return std::clamp(microseconds(reader.next<std::int64_t>()), -longest, longest);
 }
 
+auto readBeat(ArrayReader& reader) -> BeatFrame
+{
+    BeatFrame frame;
+    frame.configVersion_ = reader.next<std::uint64_t>();
+    frame.watching_ = reader.next<bool>();
+    frame.storeReachable_ = reader.next<bool>();
+    frame.entriesDigest_ = reader.next<std::uint64_t>();
+    if (reader.left() >= 2) {
+        const auto age = readMicroseconds(reader);
+        if (age.count() >= 0) {
+            frame.storeReadAge_ = age;
+        }
+        frame.sentAtUs_ = readMicroseconds(reader).count();
+    } else if (frame.storeReachable_) {
+        frame.storeReadAge_ = Duration::zero(); // Processes of earlier versions say no more than that.
+    }
+    return frame;
+}
+
 auto readLoad(ArrayReader& reader) -> GateLoad
 {
     GateLoad load;
--- a/src/libsidecar/link_frames.h
+++ b/src/libsidecar/link_frames.h
@@ -5,6 +5,7 @@
 #include "wagtailhead/result.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -76,6 +77,9 @@
     bool watching_ = false;
     bool storeReachable_ = false;
     std::uint64_t entriesDigest_ = 0; ///< See Directory::digest().
+    /// Since the sender has read the store; nothing if it has not. The receiver adds the time in transit.
+    std::optional<Duration> storeReadAge_ {};
+    std::int64_t sentAtUs_ = 0; ///< In the sender's bootNow() time.
 };
 
 /// The load of the sender's gate, told without a call while it refuses requests.
--- a/src/libsidecar/link_server.cpp
+++ b/src/libsidecar/link_server.cpp
@@ -2,6 +2,7 @@
 
 #include "outcome_share.h"
 #include "socket_options.h"
+#include "transit_delay.h"
 #include "wagtailhead/log.h"
 
 #include <asio/ip/tcp.hpp>
@@ -64,9 +65,7 @@
     std::string callerNode_;
     std::unordered_map<std::uint64_t, Gate::TicketId> tickets_; ///< By call id of the sender.
     std::unordered_map<std::uint64_t, MemoryCharge> rooms_; ///< For calls to come, by the same.
-    /// The smallest difference between this node's and the sender's clock on arrival: a frame whose
-    /// difference is greater by some time has waited for it on the way.
-    Duration smallestOffset_ = Duration::max();
+    TransitDelay transit_; ///< Of what arrives.
 };
 
 auto Session::start() -> void
@@ -116,7 +115,8 @@
         stream_->send(parts_.state_(*request));
     } else if (const auto* entry = std::get_if<EntryFrame>(&frame)) {
         parts_.onEntry_(entry->entry_);
-    } else if (const auto* heartbeat = std::get_if<BeatFrame>(&frame)) {
+    } else if (auto* heartbeat = std::get_if<BeatFrame>(&frame)) {
+        addTransitTime(*heartbeat, transit_);
         parts_.onHeartbeat_(callerNode_, *heartbeat);
     } else if (const auto* quotaAsk = std::get_if<QuotaAskFrame>(&frame)) {
         if (parts_.onQuotaAsk_) {
@@ -130,10 +130,7 @@
 auto Session::deadlineOf(const CallFrame& frame) -> TimePoint
 {
     const auto now = bootNow();
-    const Duration offset = now.time_since_epoch() - microseconds(frame.sentAtUs_);
-    smallestOffset_ = std::min(smallestOffset_, offset);
-    const auto waited = offset - smallestOffset_;
-    return now + frame.call_.deadline_.time_since_epoch() - waited;
+    return now + frame.call_.deadline_.time_since_epoch() - transit_.of(frame.sentAtUs_, now);
 }
 
 auto Session::onCall(CallFrame frame) -> void
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -213,7 +213,8 @@
     self.service_ = settings_.service_;
     self.link_ = settings_.announcedLink_.port_ != 0 ? settings_.announcedLink_ : settings_.link_;
     return std::make_unique<SiteState>(
-        SiteStateOptions { std::move(self), incarnation_, settings_.firstStart_, settings_.seed_ + 2 },
+        SiteStateOptions { std::move(self), incarnation_, settings_.firstStart_, settings_.seed_ + 2,
+            settings_.applyBound_ },
         SiteStateParts { .context_ = context_,
             .store_ = *store_,
             .platform_ = platform_,
@@ -495,15 +496,18 @@
     // Addresses and names stay those of the process's start; the bounds may move.
     const auto& settings = valueOf(read);
     if (settings.retryShare_ != settings_.retryShare_ || settings.retryBurst_ != settings_.retryBurst_
-        || settings.stopTime_ != settings_.stopTime_) {
+        || settings.stopTime_ != settings_.stopTime_ || settings.applyBound_ != settings_.applyBound_) {
         settings_.retryShare_ = settings.retryShare_;
         settings_.retryBurst_ = settings.retryBurst_;
         settings_.stopTime_ = settings.stopTime_;
+        settings_.applyBound_ = settings.applyBound_;
+        siteState_->setApplyBound(settings_.applyBound_);
         entry_.retryBudgets().setBounds(settings.retryShare_, settings.retryBurst_);
     }
     logEvent(LogLevel::Info, "reloaded",
         { { "retry_share", settings_.retryShare_ }, { "retry_burst", settings_.retryBurst_ },
-            { "stop_ms", toMilliseconds(settings_.stopTime_) } });
+            { "stop_ms", toMilliseconds(settings_.stopTime_) },
+            { "apply_ms", toMilliseconds(settings_.applyBound_) } });
 }
 
 auto SidecarProcess::reloadIfChanged() -> void
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -1,6 +1,7 @@
 #include "site_knowledge.h"
 
 #include "stale_entries.h"
+#include "wagtailhead/boot_clock.h"
 #include "wagtailhead/compression.h"
 #include "wagtailhead/log.h"
 
@@ -16,6 +17,10 @@
 /// other, so the watch of the entries only makes up for frames that were lost.
 constexpr Duration configurationBatch = milliseconds(200);
 constexpr Duration nodeBatch = seconds(10);
+/// The same on a node that has stepped in for the watchers, to which the others may have sent their entries.
+constexpr Duration substituteNodeBatch = seconds(1);
+/// How often the waiting watch of the entries is checked.
+constexpr Duration nodeCheckInterval = seconds(10);
 /// When all nodes start at once, each has published its entry after this time, most of them including the
 /// first report of the backend server.
 constexpr Duration firstListDelay = milliseconds(2200);
@@ -37,7 +42,7 @@
     , ownEntryTimer_(parts_.context_)
 {
     configurationWatch_ = std::make_shared<KindWatch>(parts_.context_, parts_.store_,
-        parts_.platform_.configurationKind_, configurationBatch, options_.seed_,
+        parts_.platform_.configurationKind_, KindWatchPace {}, options_.seed_,
         KindWatchEvents { [this](const KindList& list) {
                              for (const auto& object : list.objects_) {
                                  onConfigurationObject(object);
@@ -50,16 +55,20 @@
             },
             [this](bool reachable) {
                 nodeWatch_->setHeld(!reachable);
+            },
+            [this](TimePoint sentAt) {
+                onStoreRead(sentAt);
             } });
-    nodeWatch_
-        = std::make_shared<KindWatch>(parts_.context_, parts_.store_, nodeKind, nodeBatch, options_.seed_ + 1,
-            KindWatchEvents { [this](const KindList& list) {
-                                 onNodeList(list);
-                             },
-                [this](const StoredChange& change) {
-                    onNodeChange(change);
-                },
-                nullptr });
+    nodeWatch_ = std::make_shared<KindWatch>(parts_.context_, parts_.store_, nodeKind, KindWatchPace {},
+        options_.seed_ + 1,
+        KindWatchEvents { [this](const KindList& list) {
+                             onNodeList(list);
+                         },
+            [this](const StoredChange& change) {
+                onNodeChange(change);
+            },
+            nullptr });
+    setPaces();
 }
 
 auto SiteState::start() -> void
@@ -383,7 +392,9 @@
     onPeerVersion(node, heartbeat.configVersion_);
     const auto* entry = parts_.directory_.find(node);
     if (roles_ && heartbeat.watching_ && entry != nullptr && entry->zone_ == options_.self_.zone_) {
-        roles_->onHeartbeat(node, heartbeat.storeReachable_, Clock::now());
+        if (heartbeat.storeReadAge_) {
+            roles_->onHeartbeat(node, { bootNow() - *heartbeat.storeReadAge_, heartbeat.configVersion_ });
+        }
         compareEntries(node, heartbeat.entriesDigest_, Clock::now());
     }
 }
@@ -475,10 +486,59 @@
 
 auto SiteState::heartbeat() const -> BeatFrame
 {
-    return { version(), watching_, configurationWatch_->isReachable(), parts_.directory_.digest() };
+    BeatFrame frame { version(), watching_, configurationWatch_->isReachable(), parts_.directory_.digest() };
+    const auto now = bootNow();
+    if (roles_ && roles_->lastRead()) {
+        frame.storeReadAge_ = now - *roles_->lastRead();
+    }
+    frame.sentAtUs_ = std::chrono::duration_cast<microseconds>(now.time_since_epoch()).count();
+    return frame;
+}
+
+auto SiteState::sendHeartbeat() -> void
+{
+    nextHeartbeat_ = Clock::now() + watchHeartbeatInterval;
+    sendToZone(heartbeat(), "");
+}
+
+auto SiteState::setApplyBound(Duration applyBound) -> void
+{
+    options_.applyBound_ = applyBound;
+    setPaces();
+    if (roles_) {
+        roles_->setApplyBound(applyBound);
+    }
 }
 
-auto SiteState::updateRole(TimePoint now) -> void
+auto SiteState::setPaces() -> void
+{
+    const bool substitute = watching_ && !roles_->isRegular();
+    KindWatchPace pace;
+    pace.checkInterval_ = watchTimesFor(options_.applyBound_).check_;
+    pace.batch_ = configurationBatch;
+    if (roles_) {
+        pace.longestPause_ = roles_->retryPause();
+    }
+    pace.patient_ = substitute;
+    configurationWatch_->setPace(pace);
+    pace.checkInterval_ = nodeCheckInterval;
+    pace.batch_ = substitute ? substituteNodeBatch : nodeBatch;
+    nodeWatch_->setPace(pace);
+}
+
+auto SiteState::onStoreRead(TimePoint sentAt) -> void
+{
+    if (!roles_) {
+        return;
+    }
+    roles_->onStoreRead(sentAt);
+    if (watching_) {
+        nodeWatch_->setWatching(true);
+        sendHeartbeat();
+    }
+}
+
+auto SiteState::refreshRoles() -> void
 {
     auto nodes = reachableNodes();
     if (std::none_of(nodes.begin(), nodes.end(), [&](const NodeEntry& entry) {
@@ -486,14 +546,25 @@
         })) {
         nodes.push_back(options_.self_);
     }
-    const bool watch = roles_->shouldWatch(nodes, now);
-    if (watch != watching_) {
-        watching_ = watch;
-        logEvent(LogLevel::Info, "store_watch",
-            { { "watching", static_cast<int>(watch) }, { "nodes", nodes.size() } });
-        configurationWatch_->setWatching(watch);
-        nodeWatch_->setWatching(watch);
+    roles_->setNodes(nodes);
+    setPaces();
+}
+
+auto SiteState::updateRole() -> void
+{
+    const auto now = bootNow();
+    const bool watch = roles_->shouldWatch(version(), now);
+    if (watch == watching_) {
+        return;
     }
+    watching_ = watch;
+    logEvent(LogLevel::Info, "store_watch",
+        { { "watching", static_cast<int>(watch) }, { "regular", static_cast<int>(roles_->isRegular()) },
+            { "read_age_ms", toMilliseconds(now - roles_->knownUntil()) } });
+    setPaces();
+    configurationWatch_->setWatching(watch);
+    // A node that steps in follows the entries once it has found that it reaches the store.
+    nodeWatch_->setWatching(watch && roles_->isRegular());
 }
 
 auto SiteState::isFirstWatcher() const -> bool
@@ -545,12 +616,13 @@
         return;
     }
     if (!roles_) {
-        roles_.emplace(options_.self_.node_, options_.self_.zone_, now);
+        roles_.emplace(options_.self_.node_, options_.self_.zone_, options_.applyBound_, bootNow());
     }
     if (now >= nextRoleCheck_) {
         nextRoleCheck_ = now + roleCheckInterval;
-        updateRole(now);
+        refreshRoles();
     }
+    updateRole();
     if (now >= nextStaleCheck_) {
         nextStaleCheck_ = now + staleCheckInterval;
         parts_.directory_.purge(now);
@@ -564,9 +636,9 @@
         }
         nextLocalEntryCheck_ = now + localEntryCheckInterval;
     }
-    if (watching_ && now >= nextHeartbeat_) {
-        nextHeartbeat_ = now + watchHeartbeatInterval;
-        sendToZone(heartbeat(), "");
+    // Nodes that have stepped in send one with each read only: in an outage of the store that may be all nodes.
+    if (watching_ && roles_->isRegular() && now >= nextHeartbeat_) {
+        sendHeartbeat();
     }
 }
 
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -18,6 +18,7 @@
     std::uint64_t incarnation_ = 0; ///< Of this process; increases with each start.
     bool firstStart_ = false; ///< All nodes of the site are starting, so the first list is delayed.
     std::uint64_t seed_ = 0;
+    Duration applyBound_ = SidecarSettings().applyBound_; ///< See there.
 };
 
 struct SiteStateParts {
@@ -50,6 +51,8 @@
     /// Publishes the current state of the backend server to other nodes and to the store. `onWritten` runs
     /// once the store has confirmed the write.
     auto publish(std::function<void()> onWritten) -> void;
+    /// Changes the time in which a confirmed configuration has to be followed. Precondition: it is positive.
+    auto setApplyBound(Duration applyBound) -> void;
     /// Returns whether another node has confirmed that it holds the leave of this start of a backend server.
     auto isLeaveHeld(const std::string& id, std::uint64_t bornMs) const -> bool;
     /// Announces that this node is stopping, so that other nodes send it no further requests.
@@ -114,7 +117,12 @@
     auto announce(const NodeEntry& entry) -> void;
     auto sendToZone(const Frame& frame, const std::string& exceptNode) -> void;
     auto reachableNodes() const -> std::vector<NodeEntry>;
-    auto updateRole(TimePoint now) -> void;
+    /// Takes the reachable nodes into the choice of the watchers.
+    auto refreshRoles() -> void;
+    auto updateRole() -> void;
+    auto setPaces() -> void;
+    auto onStoreRead(TimePoint sentAt) -> void;
+    auto sendHeartbeat() -> void;
     auto removeNode(const std::string& node) -> void;
     auto compareEntries(const std::string& node, std::uint64_t digest, TimePoint now) -> void;
     auto sendNewerEntries(const std::string& node, const StateFrame& state) -> void;
--- a/src/libsidecar/watch_roles.cpp
+++ b/src/libsidecar/watch_roles.cpp
@@ -1,20 +1,39 @@
 #include "watch_roles.h"
 
 #include <algorithm>
+#include <bit>
+#include <limits>
 #include <xxhash.h>
 
 namespace wagtailhead {
 
 namespace {
 
-/// While no node that reaches the store is heard, as many nodes as usual start to watch in each such time.
-constexpr Duration escalationStep = milliseconds(1500);
+/// Parts of the bound. Other nodes may step in until three quarters of it; the last quarter is for their
+/// reads.
+constexpr double checkShare = 0.3;
+constexpr double takeoverShare = 0.55;
+constexpr double takeoverStepShare = 0.065;
+constexpr double reliefShare = 2;
+/// The last group of nodes that steps in, counted from 0, has all nodes that are in none before.
+constexpr int lastGroup = 3;
+/// The answer of a waiting watch may be lost at any time, so it is not checked more rarely, whatever the
+/// bound.
+constexpr Duration longestCheckInterval = seconds(2);
+/// Pauses between failed reads: of the regular watchers, and of the others for each node of the zone.
+constexpr Duration regularRetryPause = seconds(1);
+constexpr Duration retryPausePerNode = milliseconds(500);
 
 auto placeOf(const std::string& node) -> std::uint64_t
 {
     return XXH64(node.data(), node.size(), 0);
 }
 
+auto partOf(Duration time, double share) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(time * share);
+}
+
 } // namespace
 
 auto storeWatchersOf(const std::vector<NodeEntry>& nodes, const std::string& zone, std::size_t count)
@@ -31,28 +50,108 @@
     return found;
 }
 
-WatchRoles::WatchRoles(std::string node, std::string zone, TimePoint now)
+auto watchTimesFor(Duration applyBound) -> WatchTimes
+{
+    return { .check_ = std::min(partOf(applyBound, checkShare), longestCheckInterval),
+        .takeover_ = partOf(applyBound, takeoverShare),
+        .takeoverStep_ = partOf(applyBound, takeoverStepShare),
+        .relief_ = partOf(applyBound, reliefShare),
+        .retry_ = applyBound };
+}
+
+WatchRoles::WatchRoles(std::string node, std::string zone, Duration applyBound, TimePoint now)
     : node_(std::move(node))
     , zone_(std::move(zone))
-    , lastCovered_(now)
+    , times_(watchTimesFor(applyBound))
+    , knownUntil_(now)
 {
 }
 
-auto WatchRoles::onHeartbeat(const std::string& node, bool storeReachable, TimePoint now) -> void
+auto WatchRoles::setApplyBound(Duration applyBound) -> void
 {
-    if (storeReachable && node != node_) {
-        lastCovered_ = now;
-    }
+    times_ = watchTimesFor(applyBound);
 }
 
-auto WatchRoles::shouldWatch(const std::vector<NodeEntry>& nodes, TimePoint now) -> bool
+auto WatchRoles::setNodes(const std::vector<NodeEntry>& nodes) -> void
 {
-    const auto uncovered = std::max(now - lastCovered_ - watchHeartbeatInterval, Duration::zero());
-    const auto steps = static_cast<std::size_t>(uncovered / escalationStep);
-    const auto watchers = storeWatchersOf(nodes, zone_, watchersPerZone * (1 + steps));
-    return std::any_of(watchers.begin(), watchers.end(), [&](const NodeEntry& entry) {
+    const auto ranked = storeWatchersOf(nodes, zone_, std::numeric_limits<std::size_t>::max());
+    const auto self = std::find_if(ranked.begin(), ranked.end(), [&](const NodeEntry& entry) {
         return entry.node_ == node_;
     });
+    earlier_.clear();
+    std::transform(ranked.begin(), self, std::back_inserter(earlier_), [](const NodeEntry& entry) {
+        return entry.node_;
+    });
+    rank_ = earlier_.size();
+    zoneSize_ = ranked.size();
+}
+
+auto WatchRoles::onHeartbeat(const std::string& node, const WatcherStatus& status) -> void
+{
+    if (node != node_) {
+        heard_[node] = status;
+    }
+}
+
+auto WatchRoles::onStoreRead(TimePoint sentAt) -> void
+{
+    lastRead_ = std::max(lastRead_.value_or(sentAt), sentAt);
+    knownUntil_ = std::max(knownUntil_, sentAt);
+}
+
+auto WatchRoles::isFresh(TimePoint readAt, TimePoint now) const -> bool
+{
+    return now - readAt < times_.takeover_;
+}
+
+auto WatchRoles::isRelieved(std::uint64_t version, TimePoint now) const -> bool
+{
+    const auto fresh = std::count_if(earlier_.begin(), earlier_.end(), [&](const std::string& node) {
+        const auto found = heard_.find(node);
+        return found != heard_.end() && found->second.version_ >= version
+            && isFresh(found->second.readAt_, now);
+    });
+    return static_cast<std::size_t>(fresh) >= watchersPerZone;
+}
+
+auto WatchRoles::takeoverDelay() const -> Duration
+{
+    // The groups double: 2 nodes, 4, 8, and all others.
+    const auto place = rank_ - std::min(rank_, watchersPerZone);
+    const auto group = std::bit_width(place / watchersPerZone + 1) - 1;
+    return times_.takeoverStep_ * std::min(static_cast<int>(group), lastGroup);
+}
+
+auto WatchRoles::retryPause() const -> Duration
+{
+    return isRegular() ? regularRetryPause
+                       : std::max(times_.retry_, retryPausePerNode * static_cast<int>(zoneSize_));
+}
+
+auto WatchRoles::shouldWatch(std::uint64_t version, TimePoint now) -> bool
+{
+    for (const auto& [node, status] : heard_) {
+        // With another version this node would lack what the other one has read, or the other way round.
+        if (status.version_ == version) {
+            knownUntil_ = std::max(knownUntil_, status.readAt_);
+        }
+    }
+    if (!isRelieved(version, now)) {
+        relievedSince_.reset();
+    } else if (!relievedSince_) {
+        relievedSince_ = now;
+    }
+    if (isRegular()) {
+        watching_ = true;
+    } else if (!watching_) {
+        watching_ = !isFresh(knownUntil_ + takeoverDelay(), now);
+        steppedIn_ = now;
+    } else if (!lastRead_ || *lastRead_ < steppedIn_) {
+        watching_ = !isFresh(knownUntil_, now);
+    } else {
+        watching_ = !relievedSince_ || now - *relievedSince_ < times_.relief_;
+    }
+    return watching_;
 }
 
 } // namespace wagtailhead
--- a/src/libsidecar/watch_roles.h
+++ b/src/libsidecar/watch_roles.h
@@ -4,39 +4,110 @@
 #include "wagtailhead/clock.h"
 #include "wagtailhead/directory.h"
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace wagtailhead {
 
+/// The nodes of each zone that watch as long as they reach the store.
+constexpr std::size_t watchersPerZone = 2;
+/// How often the nodes that watch send heartbeats to the others of their zone, at least.
+constexpr Duration watchHeartbeatInterval = seconds(1);
+
 /// Returns the nodes of a zone that are to watch the store: the first ones in the order of a hash of their
 /// names, which is the same on all nodes that know the same ones. At most `count` nodes.
 auto storeWatchersOf(const std::vector<NodeEntry>& nodes, const std::string& zone, std::size_t count)
     -> std::vector<NodeEntry>;
 
-/// Decides whether this node watches the store itself. A few nodes of each zone do, and tell the others at
-/// intervals whether they reach it. While none does, more nodes watch, a few at a time, so that an outage of
-/// the store does not cost a failed call of every node. Not thread safe.
+/// The times of watching the store, as parts of the time in which every node has to follow it.
+struct WatchTimes {
+    Duration check_ {}; ///< Between checks of a waiting watch.
+    Duration takeover_ {}; ///< Since a watcher has read the store, until other nodes step in.
+    Duration takeoverStep_ {}; ///< Between the groups of nodes that step in.
+    Duration relief_ {}; ///< Until a node that has stepped in trusts the watchers before it again.
+    Duration retry_ {}; ///< Between failed reads of a node that has stepped in, at least.
+};
+
+/// `applyBound` is the time in which a node has to follow what the store has confirmed. In the last quarter
+/// of it no node relies on others any more.
+auto watchTimesFor(Duration applyBound) -> WatchTimes;
+
+/// What a node that watches the store has last said of itself.
+struct WatcherStatus {
+    TimePoint readAt_; ///< The store had confirmed nothing before this bootNow() time that it does not know.
+    std::uint64_t version_ = 0; ///< Of its configuration.
+};
+
+/// Decides whether this node watches the store itself. The first nodes of each zone do, and tell the others
+/// when they have read it. A node that has not been told of a read for a part of the bound steps in and reads
+/// the store itself: the next nodes of the zone first, then more, and in the end each on its own, so that a
+/// change is followed in time whichever nodes are cut off and however long they take to notice. Those that
+/// have stepped in watch until enough of the nodes before them have reached the store for a while. All times
+/// are in bootNow() time. Not thread safe.
 class WatchRoles {
 public:
-    WatchRoles(std::string node, std::string zone, TimePoint now);
+    /// The node counts as up to date at `now`.
+    WatchRoles(std::string node, std::string zone, Duration applyBound, TimePoint now);
+
+    /// Precondition: the bound is positive.
+    auto setApplyBound(Duration applyBound) -> void;
+
+    /// Takes the nodes that can be reached and accept requests, this one among them.
+    auto setNodes(const std::vector<NodeEntry>& nodes) -> void;
 
-    /// A node of the zone has said whether it reaches the store.
-    auto onHeartbeat(const std::string& node, bool storeReachable, TimePoint now) -> void;
+    /// A node of the zone that watches has said what it knows.
+    auto onHeartbeat(const std::string& node, const WatcherStatus& status) -> void;
 
-    /// Returns whether this node is to watch. `nodes` are those that can be reached and accept requests, this
-    /// one among them. Call it every 100 ms or so.
-    auto shouldWatch(const std::vector<NodeEntry>& nodes, TimePoint now) -> bool;
+    /// The store has answered a call of this node that was sent at `sentAt`.
+    auto onStoreRead(TimePoint sentAt) -> void;
+
+    /// Returns whether this node is to watch. `version` is that of its configuration. Call it every 100 ms or
+    /// so.
+    auto shouldWatch(std::uint64_t version, TimePoint now) -> bool;
+
+    /// Returns whether this node is one of those that watch while all is calm.
+    auto isRegular() const -> bool
+    {
+        return rank_ < watchersPerZone;
+    }
+
+    /// Returns the longest pause between failed reads. In an outage of the store all nodes try to read it, so
+    /// those that have stepped in pause for longer the more nodes the zone has.
+    auto retryPause() const -> Duration;
+
+    /// Returns when this node has last read the store, or nothing.
+    auto lastRead() const -> const std::optional<TimePoint>&
+    {
+        return lastRead_;
+    }
+
+    /// Returns the time up to which this node knows what the store has confirmed, by its own reads or by
+    /// those of others.
+    auto knownUntil() const -> TimePoint
+    {
+        return knownUntil_;
+    }
 
 private:
+    auto isFresh(TimePoint readAt, TimePoint now) const -> bool;
+    /// Returns whether enough nodes before this one reach the store.
+    auto isRelieved(std::uint64_t version, TimePoint now) const -> bool;
+    auto takeoverDelay() const -> Duration;
+
     std::string node_;
     std::string zone_;
-    TimePoint lastCovered_; ///< When a node that reaches the store was heard last.
+    WatchTimes times_;
+    std::vector<std::string> earlier_; ///< Nodes of the zone before this one, in order.
+    std::size_t rank_ = 0; ///< Number of those.
+    std::size_t zoneSize_ = 1;
+    std::map<std::string, WatcherStatus> heard_; ///< By node.
+    TimePoint knownUntil_;
+    std::optional<TimePoint> lastRead_;
+    TimePoint steppedIn_;
+    std::optional<TimePoint> relievedSince_;
+    bool watching_ = false;
 };
 
-/// How often the nodes that watch the store tell the others of their zone.
-constexpr Duration watchHeartbeatInterval = seconds(1);
-/// The nodes of each zone that watch: one may be lost or cut off from the store without a gap.
-constexpr std::size_t watchersPerZone = 2;
-
 } // namespace wagtailhead
--- a/testsuite/soak/relay.py
+++ b/testsuite/soak/relay.py
@@ -15,6 +15,7 @@
         self.one_way = False  # Only answers are held back.
         self.pairs = set()
         self.dead = set()  # Connections that carry nothing for good, as behind a device that forgot them.
+        self.passed = 0  # Bytes, both ways.
         self.server = None
 
     async def start(self, address):
@@ -71,6 +72,7 @@
                     await asyncio.sleep(self.delay_s)
                 while (self.silent and (answers or not self.one_way)) or pair in self.dead:
                     await asyncio.sleep(0.05)
+                self.passed += len(data)
                 writer.write(data)
                 await writer.drain()
             if writer.can_write_eof():
