fix(sidecar): a late heartbeat is no lost watcher

Watchers now check after a quarter of the bound, and others step in from 0.6 of it on, 0.05 apart, so the last group still does at three quarters. A check that is due later than the new interval is brought forward.

--- a/src/libsidecar/kind_watch.h
+++ b/src/libsidecar/kind_watch.h
@@ -3,6 +3,7 @@
 
 #include "wagtailhead/object_store.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
@@ -54,10 +55,11 @@
     /// Lists the objects after `delay`, and again until that succeeds or skipList() is called. Later lists,
     /// after the history was lost, are current ones.
     auto start(Duration delay, Freshness freshness) -> void;
-    /// Applies from the next call or pause on.
+    /// Applies from the next call or pause on. A check that is due later is brought forward.
     auto setPace(const KindWatchPace& pace) -> void
     {
         pace_ = pace;
+        nextCheck_ = std::min(nextCheck_, Clock::now() + pace.checkInterval_);
     }
     /// Makes no calls while held, for example while the store is known to be unreachable. The watch that
     /// waited meanwhile is replaced, since its answer may have been lost.
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -559,7 +559,8 @@
     }
     watching_ = watch;
     logEvent(LogLevel::Info, "store_watch",
-        { { "watching", static_cast<int>(watch) }, { "regular", static_cast<int>(roles_->isRegular()) },
+        { { "watching", static_cast<int>(watch) }, { "nodes", reachableNodes().size() },
+            { "regular", static_cast<int>(roles_->isRegular()) },
             { "read_age_ms", toMilliseconds(now - roles_->knownUntil()) } });
     setPaces();
     configurationWatch_->setWatching(watch);
@@ -636,7 +637,8 @@
         }
         nextLocalEntryCheck_ = now + localEntryCheckInterval;
     }
-    // Nodes that have stepped in send one with each read only: in an outage of the store that may be all nodes.
+    // Nodes that have stepped in send one with each read only: in an outage of the store that may be all
+    // nodes.
     if (watching_ && roles_->isRegular() && now >= nextHeartbeat_) {
         sendHeartbeat();
     }
--- a/src/libsidecar/watch_roles.cpp
+++ b/src/libsidecar/watch_roles.cpp
@@ -11,9 +11,9 @@
 
 /// Parts of the bound. Other nodes may step in until three quarters of it; the last quarter is for their
 /// reads.
-constexpr double checkShare = 0.3;
-constexpr double takeoverShare = 0.55;
-constexpr double takeoverStepShare = 0.065;
+constexpr double checkShare = 0.25;
+constexpr double takeoverShare = 0.6;
+constexpr double takeoverStepShare = 0.05;
 constexpr double reliefShare = 2;
 /// The last group of nodes that steps in, counted from 0, has all nodes that are in none before.
 constexpr int lastGroup = 3;
