--- a/src/libsidecar/link_test.cpp
+++ b/src/libsidecar/link_test.cpp
@@ -414,8 +414,8 @@
     cr_assert(world.beat_.storeReadAge_ == milliseconds(300));
 }
 
-// The heartbeats of a watcher with a slow link, or of one that stood still, arrive late in a row, and each
-// would make the zone believe that the store has just been read.
+// The heartbeats of a watcher with a slow link, or of one that stood still, arrive late and in a row. Without
+// the time in transit each would count as a read of the store just now.
 Test(link, the_time_in_transit_counts_for_the_age_of_a_read)
 {
     TransitDelay transit;
--- a/src/libsidecar/transit_delay.h
+++ b/src/libsidecar/transit_delay.h
@@ -27,8 +27,8 @@
     Duration smallestOffset_ = Duration::max();
 };
 
-/// Adds the time in transit to the age that a heartbeat tells. Those of earlier versions do not say when they
-/// were sent.
+/// Adds the time in transit to the age of the last read in a heartbeat. Those of earlier versions do not
+/// carry the time of sending and are left as they are.
 inline auto addTransitTime(BeatFrame& heartbeat, TransitDelay& transit) -> void
 {
     if (heartbeat.storeReadAge_ && heartbeat.sentAtUs_ != 0) {
--- a/src/libsidecar/watch_roles.h
+++ b/src/libsidecar/watch_roles.h
@@ -24,9 +24,9 @@
 /// The times of watching the store, as parts of the time in which every node has to follow it.
 struct WatchTimes {
     Duration check_ {}; ///< Between checks of a waiting watch.
-    Duration takeover_ {}; ///< Since a watcher has read the store, until other nodes step in.
+    Duration takeover_ {}; ///< Age of the last read from which on other nodes step in.
     Duration takeoverStep_ {}; ///< Between the groups of nodes that step in.
-    Duration relief_ {}; ///< Until a node that has stepped in trusts the watchers before it again.
+    Duration relief_ {}; ///< How long the watchers before a node that has stepped in must have been fresh.
     Duration retry_ {}; ///< Between failed reads of a node that has stepped in, at least.
 };
 
@@ -34,18 +34,18 @@
 /// of it no node relies on others any more.
 auto watchTimesFor(Duration applyBound) -> WatchTimes;
 
-/// What a node that watches the store has last said of itself.
+/// The last heartbeat of a node that watches the store.
 struct WatcherStatus {
-    TimePoint readAt_; ///< The store had confirmed nothing before this bootNow() time that it does not know.
+    TimePoint readAt_; ///< It has all that the store had confirmed before this bootNow() time.
     std::uint64_t version_ = 0; ///< Of its configuration.
 };
 
-/// Decides whether this node watches the store itself. The first nodes of each zone do, and tell the others
-/// when they have read it. A node that has not been told of a read for a part of the bound steps in and reads
-/// the store itself: the next nodes of the zone first, then more, and in the end each on its own, so that a
-/// change is followed in time whichever nodes are cut off and however long they take to notice. Those that
-/// have stepped in watch until enough of the nodes before them have reached the store for a while. All times
-/// are in bootNow() time. Not thread safe.
+/// Decides whether this node watches the store itself. The first nodes of each zone do, and send the others a
+/// heartbeat with each read. A node whose last read, own or from a heartbeat, is too old steps in and reads
+/// the store itself: the next nodes of the zone first, then more, and in the end each on its own. So a change
+/// is followed in time whichever nodes are cut off and however long they take to notice. Those that have
+/// stepped in watch until enough of the nodes before them have reached the store for a while. All times are
+/// in bootNow() time. Not thread safe.
 class WatchRoles {
 public:
     /// The node counts as up to date at `now`.
@@ -57,7 +57,7 @@
     /// Takes the nodes that can be reached and accept requests, this one among them.
     auto setNodes(const std::vector<NodeEntry>& nodes) -> void;
 
-    /// A node of the zone that watches has said what it knows.
+    /// Takes a heartbeat of a node of the zone that watches.
     auto onHeartbeat(const std::string& node, const WatcherStatus& status) -> void;
 
     /// The store has answered a call of this node that was sent at `sentAt`.
--- a/src/libsidecar/watch_takeover_test.cpp
+++ b/src/libsidecar/watch_takeover_test.cpp
@@ -1,6 +1,7 @@
 /// A zone of nodes in virtual time, whose first nodes lose the store in each way there is.
 #include "watch_roles.h"
 
+#include <array>
 #include <criterion/criterion.h>
 #include <set>
 
@@ -22,7 +23,8 @@
     Cut, ///< Nothing passes between the node and the store.
     Slow, ///< Calls take long.
     Paused, ///< The process stands still, and then goes on with what has come in meanwhile.
-    Killed, ///< The process is gone; nothing tells the others.
+    Killed, ///< The process is gone, and its connections are silent.
+    Mixed, ///< Each node in another one of these ways.
 };
 
 /// The first nodes of the zone lose the store one after the other, and a new version is confirmed.
@@ -84,6 +86,7 @@
         bool watching_ = false;
         bool listed_ = false; ///< Since it has stepped in.
         std::optional<TimePoint> lostAt_;
+        Loss loss_ = Loss::Cut;
     };
 
     auto isLost(const Node& node) const -> bool
@@ -92,15 +95,15 @@
     }
     auto stands(const Node& node) const -> bool
     {
-        return isLost(node) && (play_.loss_ == Loss::Paused || play_.loss_ == Loss::Killed);
+        return isLost(node) && (node.loss_ == Loss::Paused || node.loss_ == Loss::Killed);
     }
     auto pathOpen(const Node& node) const -> bool
     {
-        return !(isLost(node) && play_.loss_ == Loss::Cut);
+        return !(isLost(node) && node.loss_ == Loss::Cut);
     }
     auto delayOf(const Node& node) const -> Duration
     {
-        return isLost(node) && play_.loss_ == Loss::Slow ? slowDelay : storeDelay;
+        return isLost(node) && node.loss_ == Loss::Slow ? slowDelay : storeDelay;
     }
     auto send(Node& node, std::optional<Call>& place, bool waits) -> void;
     auto serve(Node& node) -> void;
@@ -134,6 +137,7 @@
         node.nextTick_ = start + milliseconds(37) * static_cast<int>(i) % tickInterval;
         if (i < play.lost_) {
             node.lostAt_ = lossAt_ + play.gap_ * static_cast<int>(i);
+            node.loss_ = play.loss_ == Loss::Mixed ? static_cast<Loss>(i % 4) : play.loss_;
         }
         nodes_.push_back(std::move(node));
     }
@@ -279,7 +283,7 @@
     return outcome;
 }
 
-constexpr std::array<const char*, 4> lossNames { "cut", "slow", "paused", "killed" };
+constexpr std::array<const char*, 5> lossNames { "cut", "slow", "paused", "killed", "mixed" };
 
 auto describe(const Play& play) -> std::string
 {
@@ -298,8 +302,8 @@
 Test(watch_takeover, undisturbed_nodes_follow_within_the_bound_however_the_watchers_lose_the_store)
 {
     int plays = 0;
-    for (const auto loss : { Loss::Cut, Loss::Slow, Loss::Paused, Loss::Killed }) {
-        for (const std::size_t zoneSize : { 3, 4, 6, 17, 40 }) {
+    for (const auto loss : { Loss::Cut, Loss::Slow, Loss::Paused, Loss::Killed, Loss::Mixed }) {
+        for (const std::size_t zoneSize : { 2, 3, 4, 6, 17, 40 }) {
             for (const std::size_t lost : { std::size_t { 1 }, std::size_t { 2 }, std::size_t { 3 },
                      std::size_t { 5 }, zoneSize - 1 }) {
                 for (const auto gap : { milliseconds(0), milliseconds(700), milliseconds(3000) }) {
@@ -320,7 +324,7 @@
             }
         }
     }
-    cr_assert(plays == 4 * 5 * 5 * 3 * 8 * 3);
+    cr_assert(plays == 5 * 6 * 5 * 3 * 8 * 3);
 }
 
 // Every call to the store is paid for: a loss costs what a few nodes read, whatever the size of the zone.
--- a/testsuite/store_watchers/run.py
+++ b/testsuite/store_watchers/run.py
@@ -136,6 +136,10 @@
         gc.collect()  # Streams that are dropped after the end of the loop would print errors.
 
 
+def nothing(machine, lost):
+    """All stays calm."""
+
+
 def cut(machine, lost):
     """Nothing passes between the machine and the store."""
     machine.store_relay.silent = lost
@@ -174,9 +178,9 @@
     """Each test plays one loss."""
 
     def play(self, loss, change_s, gap_s=0.0, further=0, nodes=5, bound_s=None, reload=False):
-        """The watchers lose the store, `gap_s` one after the other, then `further` nodes that watch in their place. The
-        route moves `change_s` after the first loss, and the backend server of a node elsewhere leaves. With `reload` the bound
-        comes into the settings later, with SIGHUP."""
+        """The watchers lose the store `gap_s` after each other, each in its own way if `loss` has two, then `further` nodes that
+        watch in their place. The route moves `change_s` after the first loss, and the backend server of a node elsewhere
+        leaves. With `reload` the bound comes into the settings later, with SIGHUP."""
         async def run(folder):
             asyncio.get_running_loop().set_exception_handler(lambda *_: None)
             zones = Zones(folder, nodes, None if reload else bound_s)
@@ -189,7 +193,8 @@
                         machine.write_settings()
                         machine.send(signal.SIGHUP)
                     await asyncio.sleep(SETTLE_S)
-                return await self.lose(zones, loss, change_s, gap_s, further)
+                losses = loss if isinstance(loss, tuple) else (loss, loss)
+                return await self.lose(zones, losses, change_s, gap_s, further)
             finally:
                 await zones.close()
         with tempfile.TemporaryDirectory(prefix="store-watchers-") as folder:
@@ -197,8 +202,9 @@
         self.assertFalse(late, "\n" + "\n".join(late[:5]))
         self.assertFalse(unaware)
 
-    async def lose(self, zones, loss, change_s, gap_s, further):
-        """Plays the loss. Returns which requests followed the old version too late, and which nodes lack the entry."""
+    async def lose(self, zones, losses, change_s, gap_s, further):
+        """Plays the loss of the first and of the second watcher. Returns which requests followed the old version too late, and
+        which nodes lack the entry."""
         by_zone = [await zones.watchers(zone) for zone in (ZONE, OTHER_ZONE)]
         for watchers in by_zone:
             self.assertEqual(len(watchers), WATCHERS, [machine.name for machine in watchers])
@@ -218,15 +224,15 @@
 
         async def lose_all():
             await asyncio.sleep(max(-change_s, 0))
-            for pair in zip(*by_zone):
+            for lose, pair in zip(losses, zip(*by_zone)):
                 for machine in pair:
-                    loss(machine, True)
+                    lose(machine, True)
                 await asyncio.sleep(gap_s)
             for _ in range(further):
                 await asyncio.sleep(zones.bound_s)
                 more = [machine for machine in await zones.watchers(ZONE) if machine not in lost]
                 for machine in more[:1]:
-                    loss(machine, True)
+                    losses[0](machine, True)
                     lost.append(machine)
 
         async def ask_always(machine):
@@ -241,14 +247,15 @@
         unaware = [machine.name for machine in calm if machine is not leaving and not zones.followed_entry(machine, leaving)]
         after = zones.costs()
         for machine in lost:
-            loss(machine, False)
+            for end_loss in losses:
+                end_loss(machine, False)
         new = zones.site.routes[0].service
         checked = [reply for reply in replies if reply[0] in calm and reply[1] > moved[0] + zones.bound_s]
         late = [f"{machine.name} sent a request to {service} {sent - moved[0]:.2f} s after the change"
                 for machine, sent, service in checked if service not in (new, None)]
         last = max((sent - moved[0] for machine, sent, service in replies if machine in calm and service not in (new, None)),
                    default=0)
-        print(f"{loss.__name__}: {len(checked)} requests checked, {len(late)} late, the old service ran until {last:.2f} s; "
+        print(f"{', '.join(loss.__name__ for loss in losses)}: {len(checked)} requests checked, {len(late)} late, the old service ran until {last:.2f} s; "
               f"{after[0] - costs[0]} calls to the store, {after[1] - costs[1]} bytes between nodes in {now() - began:.1f} s",
               flush=True)
         self.assertGreater(len(checked), 10)
@@ -257,7 +264,7 @@
 
     def test_calm(self):
         """Guards against a cost that nobody has seen; the figures are for the reader."""
-        self.play(lambda machine, lost: None, 0.2)
+        self.play(nothing, 0.2)
 
     def test_cut(self):
         """Guards against an old configuration beside watchers that are cut off from the store (review case 13)."""
@@ -291,6 +298,18 @@
         """The same with watchers whose processes are gone."""
         self.play(killed, 0.2)
 
+    def test_cut_and_paused(self):
+        """The same when one is cut off and the other one stands still."""
+        self.play((cut, paused), 0.2)
+
+    def test_slow_and_killed(self):
+        """The same when one has a slow path and the other one is gone, later."""
+        self.play((slow, killed), 0.7, gap_s=0.5)
+
+    def test_zone_of_three(self):
+        """The same in a zone where only one node is left, whose watchers are lost one after the other."""
+        self.play((cut, cut_one_way), 1.2, gap_s=1.0, nodes=3)
+
     def test_one_after_the_other(self):
         """The same when a node that watches in place of the others loses the store too."""
         self.play(cut, 2.9, gap_s=0.6, further=1, nodes=7)
