fix(sidecar): a store that is slow for all does not make all nodes read it

What callers saw: nothing; the platform's store was charged. While it takes 1 s for each call, the reads of the watchers are older than 0.6 of the bound of 2.5 s when the next one has been answered, so the other nodes of the zone stepped in, left when the next heartbeat came, and stepped in again, each time with a new list.

Cause: a node could not tell watchers that are slow from a store that is slow for it as well, though its own reads say so.

A read of more than half of the takeover age cannot keep a node fresh. After such a read it does not step in again for the pause that it would make after a failed one, and if it is watching it leaves as soon as two nodes before it have read as lately as it has. Watchers that are cut off have not, so the guarantee of the bound is as before.

At rest nothing changes.

--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -531,7 +531,7 @@
     if (!roles_) {
         return;
     }
-    roles_->onStoreRead(sentAt);
+    roles_->onStoreRead(sentAt, bootNow());
     if (watching_) {
         nodeWatch_->setWatching(true);
         sendHeartbeat();
--- a/src/libsidecar/watch_roles.cpp
+++ b/src/libsidecar/watch_roles.cpp
@@ -55,6 +55,7 @@
     return { .check_ = std::min(partOf(applyBound, checkShare), longestCheckInterval),
         .takeover_ = partOf(applyBound, takeoverShare),
         .takeoverStep_ = partOf(applyBound, takeoverStepShare),
+        .slowRead_ = partOf(applyBound, takeoverShare / 2),
         .relief_ = partOf(applyBound, reliefShare),
         .retry_ = applyBound };
 }
@@ -93,10 +94,14 @@
     }
 }
 
-auto WatchRoles::onStoreRead(TimePoint sentAt) -> void
+auto WatchRoles::onStoreRead(TimePoint sentAt, TimePoint now) -> void
 {
     lastRead_ = std::max(lastRead_.value_or(sentAt), sentAt);
     knownUntil_ = std::max(knownUntil_, sentAt);
+    readTime_ = now - sentAt;
+    if (readTime_ > times_.slowRead_) {
+        nextTakeover_ = now + retryPause();
+    }
 }
 
 auto WatchRoles::isFresh(TimePoint readAt, TimePoint now) const -> bool
@@ -104,14 +109,18 @@
     return now - readAt < times_.takeover_;
 }
 
-auto WatchRoles::isRelieved(std::uint64_t version, TimePoint now) const -> bool
+auto WatchRoles::hasReadSinceTakeover() const -> bool
+{
+    return lastRead_ && *lastRead_ >= steppedIn_;
+}
+
+auto WatchRoles::earlierNodesHaveRead(TimePoint since, std::uint64_t version) const -> bool
 {
-    const auto fresh = std::count_if(earlier_.begin(), earlier_.end(), [&](const std::string& node) {
-        const auto found = heard_.find(node);
-        return found != heard_.end() && found->second.version_ >= version
-            && isFresh(found->second.readAt_, now);
+    const auto found = std::count_if(earlier_.begin(), earlier_.end(), [&](const std::string& node) {
+        const auto heard = heard_.find(node);
+        return heard != heard_.end() && heard->second.version_ >= version && heard->second.readAt_ > since;
     });
-    return static_cast<std::size_t>(fresh) >= watchersPerZone;
+    return static_cast<std::size_t>(found) >= watchersPerZone;
 }
 
 auto WatchRoles::takeoverDelay() const -> Duration
@@ -136,7 +145,7 @@
             knownUntil_ = std::max(knownUntil_, status.readAt_);
         }
     }
-    if (!isRelieved(version, now)) {
+    if (!earlierNodesHaveRead(now - times_.takeover_, version)) {
         relievedSince_.reset();
     } else if (!relievedSince_) {
         relievedSince_ = now;
@@ -144,10 +153,12 @@
     if (isRegular()) {
         watching_ = true;
     } else if (!watching_) {
-        watching_ = !isFresh(knownUntil_ + takeoverDelay(), now);
+        watching_ = now >= nextTakeover_ && !isFresh(knownUntil_ + takeoverDelay(), now);
         steppedIn_ = now;
-    } else if (!lastRead_ || *lastRead_ < steppedIn_) {
+    } else if (!hasReadSinceTakeover()) {
         watching_ = !isFresh(knownUntil_, now);
+    } else if (readTime_ > times_.slowRead_ && earlierNodesHaveRead(*lastRead_ - readTime_, version)) {
+        watching_ = false; // The store is slow for all.
     } else {
         watching_ = !relievedSince_ || now - *relievedSince_ < times_.relief_;
     }
--- a/src/libsidecar/watch_roles.h
+++ b/src/libsidecar/watch_roles.h
@@ -26,6 +26,7 @@
     Duration check_ {}; ///< Between checks of a waiting watch.
     Duration takeover_ {}; ///< Age of the last read from which on other nodes step in.
     Duration takeoverStep_ {}; ///< Between the groups of nodes that step in.
+    Duration slowRead_ {}; ///< Reads that take longer cannot keep the last read younger than `takeover_`.
     Duration relief_ {}; ///< How long the watchers before a node that has stepped in must have been fresh.
     Duration retry_ {}; ///< Between failed reads of a node that has stepped in, at least.
 };
@@ -44,8 +45,8 @@
 /// heartbeat with each read. A node whose last read, own or from a heartbeat, is too old steps in and reads
 /// the store itself: the next nodes of the zone first, then more, and in the end each on its own. So a change
 /// is followed in time whichever nodes are cut off and however long they take to notice. Those that have
-/// stepped in watch until enough of the nodes before them have reached the store for a while. All times are
-/// in bootNow() time. Not thread safe.
+/// stepped in watch until enough of the nodes before them have reached the store for a while, or as well as
+/// they do themselves where the store is slow for all. All times are in bootNow() time. Not thread safe.
 class WatchRoles {
 public:
     /// The node counts as up to date at `now`.
@@ -60,8 +61,8 @@
     /// Takes a heartbeat of a node of the zone that watches.
     auto onHeartbeat(const std::string& node, const WatcherStatus& status) -> void;
 
-    /// The store has answered a call of this node that was sent at `sentAt`.
-    auto onStoreRead(TimePoint sentAt) -> void;
+    /// The store has answered at `now` a call of this node that was sent at `sentAt`.
+    auto onStoreRead(TimePoint sentAt, TimePoint now) -> void;
 
     /// Returns whether this node is to watch. `version` is that of its configuration. Call it every 100 ms or
     /// so.
@@ -73,8 +74,9 @@
         return rank_ < watchersPerZone;
     }
 
-    /// Returns the longest pause between failed reads. In an outage of the store all nodes try to read it, so
-    /// those that have stepped in pause for longer the more nodes the zone has.
+    /// Returns the longest pause between failed reads, and between slow ones of a node that has stepped in
+    /// and left. In an outage of the store, or while it is slow, all nodes try to read it, so those that have
+    /// stepped in pause for longer the more nodes the zone has.
     auto retryPause() const -> Duration;
 
     /// Returns when this node has last read the store, or nothing.
@@ -92,8 +94,9 @@
 
 private:
     auto isFresh(TimePoint readAt, TimePoint now) const -> bool;
-    /// Returns whether enough nodes before this one reach the store.
-    auto isRelieved(std::uint64_t version, TimePoint now) const -> bool;
+    auto hasReadSinceTakeover() const -> bool;
+    /// Returns whether enough nodes before this one have read the store since then.
+    auto earlierNodesHaveRead(TimePoint since, std::uint64_t version) const -> bool;
     auto takeoverDelay() const -> Duration;
 
     std::string node_;
@@ -105,7 +108,9 @@
     std::map<std::string, WatcherStatus> heard_; ///< By node.
     TimePoint knownUntil_;
     std::optional<TimePoint> lastRead_;
-    TimePoint steppedIn_;
+    Duration readTime_ {}; ///< How long the last read took.
+    TimePoint nextTakeover_; ///< This node does not step in before.
+    TimePoint steppedIn_; ///< Or the last moment at which this node did not watch.
     std::optional<TimePoint> relievedSince_;
     bool watching_ = false;
 };
--- a/src/libsidecar/watch_roles_test.cpp
+++ b/src/libsidecar/watch_roles_test.cpp
@@ -117,13 +117,13 @@
     auto roles = rolesOf(ranked[2].node_, nodes);
     auto now = start + seconds(2);
     cr_assert(roles.shouldWatch(1, now));
-    roles.onStoreRead(now);
+    roles.onStoreRead(now, now);
     const auto heartbeats = [&](std::size_t count, Duration time) {
         for (const auto end = now + time; now < end; now += milliseconds(100)) {
             for (std::size_t i = 0; i < count; ++i) {
                 roles.onHeartbeat(ranked[i].node_, { now, 1 });
             }
-            roles.onStoreRead(now);
+            roles.onStoreRead(now, now);
             if (!roles.shouldWatch(1, now)) {
                 return false;
             }
@@ -151,3 +151,37 @@
     cr_assert(rolesOf(ranked.front().node_, nodes).retryPause() == seconds(1));
     cr_assert(rolesOf(nodes[2].node_, { nodes[0], nodes[1], nodes[2] }).retryPause() <= bound);
 }
+
+// Where the store is slow for all, a node's own reads make it no fresher, and each is paid for.
+Test(watch_roles, a_node_whose_own_reads_are_slow_too_relies_on_the_watchers)
+{
+    const auto nodes = zoneOf(20);
+    const auto ranked = storeWatchersOf(nodes, "a", 20);
+    auto roles = rolesOf(ranked.back().node_, nodes);
+    auto now = start + seconds(2);
+    cr_assert(roles.shouldWatch(1, now));
+    const auto watchersRead = [&](TimePoint readAt) {
+        roles.onHeartbeat(ranked[0].node_, { readAt, 1 });
+        roles.onHeartbeat(ranked[1].node_, { readAt, 1 });
+    };
+    // The first read is not needed any more when it has been answered.
+    watchersRead(now - milliseconds(100));
+    cr_assert(!roles.shouldWatch(1, now + seconds(1)));
+    roles.onStoreRead(now, now + seconds(1));
+    now += seconds(1);
+    cr_assert(!roles.shouldWatch(1, now + milliseconds(9900)));
+    cr_assert(roles.shouldWatch(1, now + milliseconds(10100)), "it tries again after the pause");
+    now += milliseconds(10100);
+    // The next read is not younger than those of the watchers, all of them old.
+    watchersRead(now - seconds(1));
+    cr_assert(roles.shouldWatch(1, now + seconds(2)));
+    roles.onStoreRead(now, now + seconds(2));
+    cr_assert(!roles.shouldWatch(1, now + seconds(2)));
+    // It is younger than those of watchers that are cut off.
+    now += seconds(13);
+    cr_assert(roles.shouldWatch(1, now));
+    for (const auto end = now + bound * 3; now < end; now += milliseconds(100)) {
+        roles.onStoreRead(now - seconds(2), now);
+        cr_assert(roles.shouldWatch(1, now));
+    }
+}
--- a/src/libsidecar/watch_takeover_test.cpp
+++ b/src/libsidecar/watch_takeover_test.cpp
@@ -195,7 +195,7 @@
             node.call_.reset();
             node.listed_ = true;
             node.nextCall_ = answer.sentAt_ + watchTimesFor(play_.bound_).check_;
-            node.roles_->onStoreRead(answer.sentAt_);
+            node.roles_->onStoreRead(answer.sentAt_, now_);
         }
         if (node.watching_) {
             sendHeartbeats(node);
@@ -344,3 +344,29 @@
             lost.calls_ - calm.calls_ < 50, "%zu nodes: %d calls more", zoneSize, lost.calls_ - calm.calls_);
     }
 }
+
+// While the store took a second for each call, all nodes of a zone read it, again and again: reads that slow
+// are too old when the next one has been answered.
+Test(watch_takeover, a_slow_store_costs_the_calls_of_a_few_nodes)
+{
+    constexpr int callsPerMinute = 60 * 4; // Of the regular watchers, and two a second of all others.
+    constexpr int firstCalls = 2; // Of each node, until it has found that the others read as well as it does.
+    for (const auto bound : { milliseconds(1000), milliseconds(1600), milliseconds(2500) }) {
+        for (const std::size_t zoneSize : { 6, 17, 60 }) {
+            Play play;
+            play.zoneSize_ = zoneSize;
+            play.bound_ = bound;
+            play.loss_ = Loss::Slow;
+            play.lost_ = zoneSize;
+            play.length_ = seconds(60);
+            const int first = ZoneModel(play).run().calls_;
+            play.length_ = seconds(120);
+            const int second = ZoneModel(play).run().calls_ - first;
+            cr_log_info(
+                "%s: %d calls in the first minute, %d in the second", describe(play).c_str(), first, second);
+            cr_expect(first < callsPerMinute + firstCalls * static_cast<int>(zoneSize), "%s: %d calls",
+                describe(play).c_str(), first);
+            cr_expect(second < callsPerMinute, "%s: %d calls", describe(play).c_str(), second);
+        }
+    }
+}
