feat(sidecar): logs and metrics tell by which call a configuration was read

The logs could not tell a watch whose answer was lost from watchers that are cut off or from a node that relies on another one: a check that finds nothing left no trace, and an adopted version did not say how it was read.

event=configuration_adopted has the fields read (list, stale-list, watch, stale-check; empty for a peer) and read_age_ms, for how long the node had not known whether there is a newer version. event=watch_replaced has waited_ms. New gauges wagtailhead_store_checks{result} and wagtailhead_store_read_age_seconds.

--- a/src/libsidecar/kind_watch.cpp
+++ b/src/libsidecar/kind_watch.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::array<const char*, 5> errorNames { "history-gone", "conflict", "not-found", "refused",
     "no-answer" };
+constexpr std::array<const char*, 4> readNames { "list", "stale-list", "watch", "stale-check" };
 
 } // namespace
 
@@ -32,6 +33,11 @@
     return errorNames.at(static_cast<std::size_t>(error));
 }
 
+auto kindReadName(KindRead read) -> const char*
+{
+    return readNames.at(static_cast<std::size_t>(read));
+}
+
 KindWatch::KindWatch(asio::io_context& context, ObjectStore& store, std::string kind,
     const KindWatchPace& pace, std::uint64_t seed, KindWatchEvents events)
     : store_(store)
@@ -135,6 +141,7 @@
         self->listed_ = true;
         self->listWanted_ = false;
         const auto freshness = std::exchange(self->freshness_, Freshness::Current);
+        self->lastRead_ = freshness == Freshness::Current ? KindRead::List : KindRead::StaleList;
         self->events_.onList_({ std::move(listed.objects_), freshness, requestedAt });
         self->onAnswer(sentAt, freshness);
         self->proceed();
@@ -145,6 +152,7 @@
 auto KindWatch::watch() -> void
 {
     busy_ = true;
+    watchSentAt_ = Clock::now();
     const bool answersAtOnce = failures_ > 0;
     watchId_ = store_.watch(kind_, revision_, answersAtOnce ? watchWaitAfterFailure : watchWait,
         [self = shared_from_this(), answersAtOnce, sentAt = bootNow()](
@@ -154,6 +162,7 @@
             if (self->stopped_) {
                 return;
             }
+            self->lastRead_ = KindRead::Watch;
             self->onWatchResult(result);
             if (answersAtOnce && std::holds_alternative<StoredChanges>(result)) {
                 self->onAnswer(sentAt, Freshness::Current);
@@ -230,14 +239,17 @@
     const bool refused
         = error != nullptr && *error != StoreError::NoAnswer && *error != StoreError::HistoryGone;
     const bool upToDate = error == nullptr && std::get<StoredChanges>(result).changes_.empty();
+    ++(error != nullptr ? checkStats_.failed_ : upToDate ? checkStats_.unchanged_ : checkStats_.newer_);
     if (refused || upToDate) {
         return; // A store that turns a call away says nothing of the watch.
     }
     logEvent(LogLevel::Warning, "watch_replaced",
         { { "kind", kind_ }, { "revision", revision_ },
-            { "reason", error == nullptr ? "answer-lost" : storeErrorName(*error) } });
+            { "reason", error == nullptr ? "answer-lost" : storeErrorName(*error) },
+            { "waited_ms", toMilliseconds(Clock::now() - watchSentAt_) } });
     cancelWatch();
     busy_ = false;
+    lastRead_ = KindRead::StaleCheck;
     if (error != nullptr && *error == StoreError::HistoryGone) {
         watch(); // A stale answer; the store itself tells whether the history is gone.
     } else {
--- a/src/libsidecar/kind_watch.h
+++ b/src/libsidecar/kind_watch.h
@@ -19,6 +19,24 @@
     TimePoint requestedAt_; ///< What was created since then may be missing.
 };
 
+/// The calls by which a kind is read.
+enum class KindRead : std::uint8_t {
+    List,
+    StaleList,
+    Watch,
+    StaleCheck, ///< Of a waiting watch, by a read that may be stale.
+};
+
+/// Returns the lower-case name of a call, for logs.
+auto kindReadName(KindRead read) -> const char*;
+
+/// Counts of the checks of waiting watches since the start, by their outcome.
+struct KindCheckStats {
+    std::uint64_t unchanged_ = 0; ///< Nothing newer was found.
+    std::uint64_t newer_ = 0; ///< The watch should have been answered.
+    std::uint64_t failed_ = 0;
+};
+
 struct KindWatchEvents {
     /// Objects that a current list does not name did not exist when it was requested.
     std::function<void(const KindList& list)> onList_;
@@ -73,6 +91,17 @@
     /// Checks the waiting watch when that is due. Call it about every 100 ms.
     auto tick(TimePoint now) -> void;
 
+    /// Returns the call whose answer is reported, or was reported last.
+    auto lastRead() const -> KindRead
+    {
+        return lastRead_;
+    }
+
+    auto checkStats() const -> const KindCheckStats&
+    {
+        return checkStats_;
+    }
+
     /// Returns whether the last call has been answered.
     auto isReachable() const -> bool
     {
@@ -101,8 +130,11 @@
     std::mt19937_64 random_;
     std::uint64_t revision_ = 0;
     ObjectStore::WatchId watchId_ = 0; ///< Of the waiting watch; 0 if there is none.
+    TimePoint watchSentAt_; ///< Of the waiting watch.
     TimePoint nextCheck_; ///< Of the waiting watch.
     TimePoint answeredAt_; ///< When the last call that was answered had been sent, in bootNow() time.
+    KindRead lastRead_ = KindRead::List;
+    KindCheckStats checkStats_;
     int failures_ = 0; ///< In a row.
     Freshness freshness_ = Freshness::Current; ///< Of the next list.
     bool held_ = false;
--- a/src/libsidecar/node_gauges.cpp
+++ b/src/libsidecar/node_gauges.cpp
@@ -49,6 +49,15 @@
         static_cast<double>(store.failures_));
 }
 
+auto publishChecks(const KindCheckStats& checks) -> void
+{
+    const GaugeText text { "wagtailhead_store_checks",
+        "Checks of the waiting watch of the configuration since the start." };
+    set(text, static_cast<double>(checks.unchanged_), { { "result", "unchanged" } });
+    set(text, static_cast<double>(checks.newer_), { { "result", "newer" } });
+    set(text, static_cast<double>(checks.failed_), { { "result", "failed" } });
+}
+
 } // namespace
 
 auto publishGauges(const NodeGauges& now) -> void
@@ -89,6 +98,10 @@
     set({ "wagtailhead_known_nodes", "Nodes in the directory." }, static_cast<double>(now.nodes_));
     set({ "wagtailhead_store_watching", "1 if this node watches the store for its zone." },
         now.watching_ ? 1 : 0);
+    set({ "wagtailhead_store_read_age_seconds",
+            "Time since which a newer configuration would not be known." },
+        std::chrono::duration<double>(now.storeReadAge_).count());
+    publishChecks(now.storeChecks_);
     set({ "wagtailhead_ready", "1 if this node takes new callers." }, now.ready_ ? 1 : 0);
 }
 
--- a/src/libsidecar/node_gauges.h
+++ b/src/libsidecar/node_gauges.h
@@ -22,6 +22,8 @@
     std::uint64_t configVersion_ = 0;
     Duration configAge_ {}; ///< Since it was adopted.
     std::size_t nodes_ = 0; ///< Known ones.
+    Duration storeReadAge_ {}; ///< See SiteState::readAge().
+    KindCheckStats storeChecks_; ///< Of the waiting watch of the configuration.
     bool watching_ = false; ///< This node watches the store for its zone.
     bool ready_ = false;
 };
--- a/src/libsidecar/sidecar.cpp
+++ b/src/libsidecar/sidecar.cpp
@@ -605,6 +605,8 @@
     now.configAge_ = Clock::now() - configurationAdopted_;
     now.nodes_ = directory_.size();
     now.watching_ = siteState_->isWatching();
+    now.storeReadAge_ = siteState_->readAge();
+    now.storeChecks_ = siteState_->checkStats();
     now.ready_ = isReady();
     publishGauges(now);
 }
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -83,16 +83,16 @@
 auto SiteState::onConfigurationObject(const StoredObject& object) -> void
 {
     if (object.name_ == parts_.platform_.configurationName_) {
-        adopt(object.value_, "store");
+        adopt(object.value_, { "store", kindReadName(configurationWatch_->lastRead()) });
     }
 }
 
-auto SiteState::adopt(const std::string& text, const char* source) -> void
+auto SiteState::adopt(const std::string& text, const Source& source) -> void
 {
     auto decoded = parts_.platform_.decodeConfiguration_(text);
     if (!isOk(decoded)) {
         logEvent(LogLevel::Error, "configuration_refused",
-            { { "source", source }, { "error", errorOf(decoded).text_ } });
+            { { "source", source.name_ }, { "error", errorOf(decoded).text_ } });
         return;
     }
     const auto& configuration = valueOf(decoded);
@@ -100,8 +100,9 @@
         return;
     }
     logEvent(LogLevel::Info, "configuration_adopted",
-        { { "source", source }, { "version", configuration->version() }, { "before", version() },
-            { "routes", configuration->routes().size() } });
+        { { "source", source.name_ }, { "read", source.read_ }, { "version", configuration->version() },
+            { "before", version() }, { "routes", configuration->routes().size() },
+            { "read_age_ms", toMilliseconds(readAge()) } });
     configuration_ = configuration;
     compressedConfiguration_ = compressText(text);
     newerVersions_.onAdopted(version());
@@ -404,7 +405,7 @@
     if (!state.config_.empty()) {
         const auto text = decompressText(state.config_, maxConfigurationBytes);
         if (isOk(text)) {
-            adopt(valueOf(text), "peer");
+            adopt(valueOf(text), { "peer", "" });
         } else {
             logEvent(LogLevel::Error, "configuration_refused",
                 { { "source", "peer" }, { "error", errorOf(text).text_ } });
@@ -484,6 +485,11 @@
     return state;
 }
 
+auto SiteState::readAge() const -> Duration
+{
+    return roles_ ? bootNow() - roles_->knownUntil() : Duration::zero();
+}
+
 auto SiteState::heartbeat() const -> BeatFrame
 {
     BeatFrame frame { version(), watching_, configurationWatch_->isReachable(), parts_.directory_.digest() };
@@ -552,8 +558,7 @@
 
 auto SiteState::updateRole() -> void
 {
-    const auto now = bootNow();
-    const bool watch = roles_->shouldWatch(version(), now);
+    const bool watch = roles_->shouldWatch(version(), bootNow());
     if (watch == watching_) {
         return;
     }
@@ -561,7 +566,7 @@
     logEvent(LogLevel::Info, "store_watch",
         { { "watching", static_cast<int>(watch) }, { "nodes", reachableNodes().size() },
             { "regular", static_cast<int>(roles_->isRegular()) },
-            { "read_age_ms", toMilliseconds(now - roles_->knownUntil()) } });
+            { "read_age_ms", toMilliseconds(readAge()) } });
     setPaces();
     configurationWatch_->setWatching(watch);
     // A node that steps in follows the entries once it has found that it reaches the store.
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -95,9 +95,24 @@
         return watching_;
     }
 
+    /// Returns for how long this node has not known, by its own reads of the store or by those of others,
+    /// whether there is a newer configuration; zero until the nodes are known.
+    auto readAge() const -> Duration;
+    /// Returns how the waiting watch of the configuration was found when it was checked.
+    auto checkStats() const -> const KindCheckStats&
+    {
+        return configurationWatch_->checkStats();
+    }
+
 private:
+    /// From where a configuration came.
+    struct Source {
+        const char* name_; ///< "store" or "peer".
+        const char* read_; ///< By which call to the store; empty for a peer.
+    };
+
     auto onConfigurationObject(const StoredObject& object) -> void;
-    auto adopt(const std::string& text, const char* source) -> void;
+    auto adopt(const std::string& text, const Source& source) -> void;
     auto onNodeList(const KindList& list) -> void;
     /// Reads this node's entry, which says whether its backend server was leaving, until the store answers.
     auto readOwnEntry() -> void;
