test(sidecar): answers of the store that are lost while stale reads are seconds old

Callers saw the old service of a moved route 5.2 to 5.5 s after the confirmation of the move, in all zones at once, with a bound of 2.5 s and nothing else disturbed.

The store stand-in of the soak serves stale reads of a set age and can leave waiting watches unanswered.

--- a/testsuite/soak/store_standin.py
+++ b/testsuite/soak/store_standin.py
@@ -5,6 +5,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from http_codec import HttpError, abort, read_request, response_bytes, serve
+from record import now
 
 PAGE = 500
 LONGEST_WAIT_MS = 30000
@@ -16,6 +17,7 @@
     def __init__(self, history=10000):
         self.objects = {}  # By (kind, name).
         self.events = []  # (revision, kind, object, deleted)
+        self.writes = []  # (time, revision after it, (kind, name), object before it), newest last
         self.revision = 1
         self.oldest = 1  # Watches from an older revision get 410.
         self.history = history
@@ -26,6 +28,9 @@
         self.lose_writes = 0.0  # Share of writes that are done and not answered.
         self.late_s = 0.0  # Lost writes are done so much later.
         self.refused_share = 0.0  # Share of calls that get 429.
+        self.stale_s = 0.0  # Reads that may be stale return what was there so long ago.
+        self.unanswered = set()  # Waiting watches that are never answered.
+        self.waiting = set()
         self.random = None
         self.server = None
 
@@ -44,6 +49,10 @@
         self.events.clear()
         self.wake()
 
+    def forget_watches(self):
+        """The watches that wait are never answered, and their connections stay open."""
+        self.unanswered |= self.waiting
+
     def wake(self):
         """Lets waiting watches look again."""
         self.changed.set()
@@ -96,27 +105,51 @@
         if len(words) == 2:
             found = self.objects.get((words[0], words[1]))
             return (200, found) if found else (404, {})
+        stale = bool(self.stale_s and query.get("allowStale"))
+        revision, objects = self.past() if stale else (self.revision, self.objects)
         if "watch" in query:
-            return await self.watch(words[0], int(query["watch"]), int(query.get("waitMs", 0)))
-        names = sorted(name for kind, name in self.objects if kind == words[0] and name > query.get("after", ""))
-        items = [self.objects[(words[0], name)] for name in names[:PAGE]]
-        return 200, {"items": items, "hasMore": len(names) > PAGE, "at": self.revision}
+            return await self.watch(words[0], int(query["watch"]), int(query.get("waitMs", 0)), revision if stale else None)
+        names = sorted(name for kind, name in objects if kind == words[0] and name > query.get("after", ""))
+        items = [objects[(words[0], name)] for name in names[:PAGE]]
+        return 200, {"items": items, "hasMore": len(names) > PAGE, "at": revision}
+
+    def past(self):
+        """Returns the revision and the objects that stale reads see."""
+        since, revision, objects = now() - self.stale_s, self.revision, dict(self.objects)
+        for time, after, key, before in reversed(self.writes):
+            if time <= since:
+                break
+            revision = after - 1
+            if before:
+                objects[key] = before
+            else:
+                objects.pop(key, None)
+        return revision, objects
 
-    async def watch(self, kind, since, wait_ms):
-        """Waits for events of a kind."""
+    async def watch(self, kind, since, wait_ms, until=None):
+        """Waits for events of a kind. A stale read sees them up to the revision `until`."""
         loop = asyncio.get_running_loop()
         end = loop.time() + min(wait_ms, LONGEST_WAIT_MS) / 1000
-        while True:
-            if since + 1 < self.oldest:
-                return 410, {}
-            events = [{"object": item, "deleted": deleted} for revision, of, item, deleted in self.events
-                      if of == kind and revision > since]
-            if events or loop.time() >= end:
-                return 200, {"events": events, "at": self.revision}
-            try:
-                await asyncio.wait_for(self.changed.wait(), end - loop.time())
-            except asyncio.TimeoutError:
-                pass
+        this = object()
+        self.waiting.add(this)
+        try:
+            while True:
+                if since + 1 < self.oldest:
+                    return 410, {}
+                last = self.revision if until is None else until
+                events = [{"object": item, "deleted": deleted} for revision, of, item, deleted in self.events
+                          if of == kind and since < revision <= last]
+                if events or loop.time() >= end or until is not None:
+                    return 200, {"events": events, "at": last}
+                try:
+                    await asyncio.wait_for(self.changed.wait(), end - loop.time())
+                except asyncio.TimeoutError:
+                    pass
+                if this in self.unanswered:
+                    await asyncio.sleep(3600)
+        finally:
+            self.waiting.discard(this)
+            self.unanswered.discard(this)
 
     def apply(self, request, path, query):
         """Carries out a write. Returns status and body."""
@@ -135,6 +168,7 @@
             return 409, found
         if request.method == "DELETE":
             self.revision += 1
+            self.writes.append((now(), self.revision, (kind, name), found))
             del self.objects[(kind, name)]
             self.record(kind, found, True)
             return 200, {}
@@ -148,6 +182,7 @@
         created = self.objects.get((kind, name), {}).get("metadata", {}).get("created", self.revision)
         item = {"metadata": {"name": name, "revision": self.revision, "created": created, "finalizers": [],
                              "beingDeleted": False}, "spec": copy.deepcopy(spec), "status": None}
+        self.writes.append((now(), self.revision, (kind, name), self.objects.get((kind, name))))
         self.objects[(kind, name)] = item
         self.record(kind, item, False)
         return item
