fix(sidecar): a read that may be stale does not count as a read of the store

Cause: the answer to a waiting watch may be lost on a connection that stays open. The watchers checked for that by a read with allowStale, and took a check that found nothing for a read of the store, because "the watch that waits beside it is not" stale. But the watch is what the check is to test. The reads may be seconds old, without a bound, so the check went on to find nothing until they had caught up; its time went to the other nodes as the age of the last read, and none of them stepped in.

Evidence: testsuite/lost_store_answers on with stale reads of 5 s: 6 of 6 fail, the logs show watch_replaced reason=answer-lost 5 s after the change at every watcher. Ruled out for these runs: watchers that are cut off (nothing is), a peer's word (the adopted version comes from the store at the watchers), requests decided by an older version than the node's (they end with the adoption).

Change: an answer that may be stale can prove that something is newer, never that nothing is. Checks of the configuration's watch are current reads, at the full price, so one node of a zone makes them for all: the first watcher when the last read that it knows of is 0.3 of the bound old, the second one from 0.45 on, and others step in from 0.6 on as before. A check does not wait for the answer to the one before, which may be lost as well. Since one node reads, one node before a node that has stepped in relieves it. Stale checks remain for the watch of the entries, where no one relies on what they do not find. A node counts as up to date from the moment of its own first list, not from the moment at which a peer has sent it the nodes.

--- a/src/include/wagtailhead/object_store.h
+++ b/src/include/wagtailhead/object_store.h
@@ -52,7 +52,8 @@
 struct ObjectStoreStats {
     std::uint64_t reads_ = 0;
     std::uint64_t watches_ = 0;
-    std::uint64_t checks_ = 0; ///< Calls of changesSoFar().
+    std::uint64_t checks_ = 0; ///< Calls of changesSoFar() for current changes.
+    std::uint64_t staleChecks_ = 0; ///< The same for those that may be stale.
     std::uint64_t writes_ = 0;
     std::uint64_t failures_ = 0;
 };
@@ -72,17 +73,18 @@
         = 0;
 
     /// Waits up to `wait` for a change after `revision`. Returns a positive id for cancelWatch(). The answer
-    /// may be lost without a sign; changesSoFar() shows that.
+    /// may be lost without a sign; only changesSoFar() for current changes shows that it has not been.
     virtual auto watch(const std::string& kind, std::uint64_t revision, Duration wait,
         Callback<StoredChanges> callback) -> WatchId = 0;
 
     /// Ends a watch; its callback does not run. Watches that have ended already are ignored.
     virtual auto cancelWatch(WatchId id) -> void = 0;
 
-    /// Returns the changes after `revision` without waiting, at a tenth of the price of a watch. Changes of
-    /// the last seconds may be missing.
-    virtual auto changesSoFar(
-        const std::string& kind, std::uint64_t revision, Callback<StoredChanges> callback) -> void
+    /// Returns the changes after `revision` without waiting. Stale ones cost a tenth of the price, and
+    /// changes of the last seconds may be missing: they can show that something is newer, and never that
+    /// nothing is.
+    virtual auto changesSoFar(const std::string& kind, std::uint64_t revision, Freshness freshness,
+        Callback<StoredChanges> callback) -> void
         = 0;
 
     /// Creates an object; Conflict if it exists.
--- a/src/libsidecar/kind_watch.cpp
+++ b/src/libsidecar/kind_watch.cpp
@@ -24,7 +24,7 @@
 
 constexpr std::array<const char*, 5> errorNames { "history-gone", "conflict", "not-found", "refused",
     "no-answer" };
-constexpr std::array<const char*, 4> readNames { "list", "stale-list", "watch", "stale-check" };
+constexpr std::array<const char*, 5> readNames { "list", "stale-list", "watch", "check", "stale-check" };
 
 } // namespace
 
@@ -173,7 +173,8 @@
 auto KindWatch::onAnswer(TimePoint sentAt, Freshness freshness) -> void
 {
     answeredAt_ = std::max(answeredAt_, sentAt);
-    nextCheck_ = Clock::now() + pace_.checkInterval_ - (bootNow() - sentAt);
+    answerTime_ = bootNow() - sentAt;
+    nextCheck_ = std::max(nextCheck_, Clock::now() + pace_.checkInterval_ - answerTime_);
     if (events_.onRead_ && freshness == Freshness::Current) {
         events_.onRead_(sentAt);
     }
@@ -204,36 +205,38 @@
     }
 }
 
-auto KindWatch::tick(TimePoint now) -> void
+auto KindWatch::check(TimePoint now) -> void
 {
-    if (watchId_ != 0 && watching_ && !held_ && !checking_ && now >= nextCheck_) {
-        nextCheck_ = now + pace_.checkInterval_;
-        check();
+    // The answer to a check may be lost as well, so the next one does not wait for it, unless the store takes
+    // that long for each.
+    if (watchId_ != 0 && watching_ && !held_ && now >= nextCheck_) {
+        nextCheck_ = now + std::max(pace_.checkInterval_, answerTime_);
+        sendCheck();
     }
 }
 
-auto KindWatch::check() -> void
+auto KindWatch::sendCheck() -> void
 {
-    checking_ = true;
-    store_.changesSoFar(kind_, revision_,
-        [self = shared_from_this(), checked = watchId_, sentAt = bootNow()](
+    const auto freshness = pace_.checkFreshness_;
+    store_.changesSoFar(kind_, revision_, freshness,
+        [self = shared_from_this(), checked = watchId_, freshness, sentAt = bootNow()](
             const std::variant<StoredChanges, StoreError>& result) {
-            self->checking_ = false;
-            if (self->stopped_) {
+            const auto* changes = std::get_if<StoredChanges>(&result);
+            const bool outdated = changes == nullptr && self->answeredAt_ > sentAt;
+            if (self->stopped_ || outdated) {
                 return;
             }
             if (self->watchId_ == checked) {
-                self->onCheckResult(result);
+                self->onCheckResult(result, freshness);
             }
-            const auto* changes = std::get_if<StoredChanges>(&result);
             if (changes != nullptr && (changes->changes_.empty() || changes->revision_ <= self->revision_)) {
-                // A stale read, but the watch that waits beside it is not.
-                self->onAnswer(sentAt, Freshness::Current);
+                self->onAnswer(sentAt, freshness);
             }
         });
 }
 
-auto KindWatch::onCheckResult(const std::variant<StoredChanges, StoreError>& result) -> void
+auto KindWatch::onCheckResult(const std::variant<StoredChanges, StoreError>& result, Freshness freshness)
+    -> void
 {
     const auto* error = std::get_if<StoreError>(&result);
     const bool refused
@@ -249,9 +252,9 @@
             { "waited_ms", toMilliseconds(Clock::now() - watchSentAt_) } });
     cancelWatch();
     busy_ = false;
-    lastRead_ = KindRead::StaleCheck;
-    if (error != nullptr && *error == StoreError::HistoryGone) {
-        watch(); // A stale answer; the store itself tells whether the history is gone.
+    lastRead_ = freshness == Freshness::Current ? KindRead::Check : KindRead::StaleCheck;
+    if (error != nullptr && *error == StoreError::HistoryGone && freshness == Freshness::MayBeStale) {
+        watch(); // The store itself tells whether the history is gone.
     } else {
         onWatchResult(result);
     }
--- a/src/libsidecar/kind_watch.h
+++ b/src/libsidecar/kind_watch.h
@@ -24,7 +24,8 @@
     List,
     StaleList,
     Watch,
-    StaleCheck, ///< Of a waiting watch, by a read that may be stale.
+    Check, ///< Of a waiting watch.
+    StaleCheck,
 };
 
 /// Returns the lower-case name of a call, for logs.
@@ -43,9 +44,8 @@
     std::function<void(const StoredChange& change)> onChange_;
     /// The store was lost or is there again.
     std::function<void(bool reachable)> onReachable_;
-    /// The store has answered a call that was sent at this bootNow() time, so what it confirmed until then
-    /// has been reported or is about to be reported by the waiting watch. Runs after the changes of that
-    /// answer.
+    /// The store has answered a call that was sent at this bootNow() time and is not stale, so what it
+    /// confirmed until then has been reported. Runs after the changes of that answer.
     std::function<void(TimePoint sentAt)> onRead_ {};
 };
 
@@ -53,8 +53,11 @@
 struct KindWatchPace {
     /// After changes it waits for this time before it watches again.
     Duration batch_ {};
-    /// A waiting watch is checked so long after the last answer.
+    /// A waiting watch is not checked earlier than this after the last answer or check.
     Duration checkInterval_ = seconds(2);
+    /// How it is checked. Stale checks are cheap, and find a lost answer only once the stale reads have
+    /// caught up with the change.
+    Freshness checkFreshness_ = Freshness::Current;
     /// Longest pause after failed calls.
     Duration longestPause_ = seconds(1);
     /// Whether pauses are the longest ones from the second failure on.
@@ -62,9 +65,9 @@
 };
 
 /// Lists, then watches as long as it is told to, and starts over when the history is gone. The answer to a
-/// watch may be lost, on a connection that stays open and silent: while a watch waits, the store is asked at
-/// intervals what has changed, and the watch is replaced if it should have been answered. Calls that fail are
-/// repeated at a bounded rate, since each is paid for. All members run in the context's single thread.
+/// watch may be lost, on a connection that stays open and silent: while a watch waits, check() asks the store
+/// what has changed, and the watch is replaced if it should have been answered. Calls that fail are repeated
+/// at a bounded rate, since each is paid for. All members run in the context's single thread.
 class KindWatch : public std::enable_shared_from_this<KindWatch> {
 public:
     KindWatch(asio::io_context& context, ObjectStore& store, std::string kind, const KindWatchPace& pace,
@@ -88,8 +91,8 @@
     /// The objects are known from elsewhere. They are only listed before the next watch.
     auto skipList() -> void;
     auto stop() -> void;
-    /// Checks the waiting watch when that is due. Call it about every 100 ms.
-    auto tick(TimePoint now) -> void;
+    /// Checks the waiting watch unless that is too early. Call it about every 100 ms while checks are wanted.
+    auto check(TimePoint now) -> void;
 
     /// Returns the call whose answer is reported, or was reported last.
     auto lastRead() const -> KindRead
@@ -113,10 +116,10 @@
     auto list() -> void;
     auto watch() -> void;
     auto onWatchResult(const std::variant<StoredChanges, StoreError>& result) -> void;
-    auto check() -> void;
+    auto sendCheck() -> void;
     /// The store has answered a call that was sent at this bootNow() time.
     auto onAnswer(TimePoint sentAt, Freshness freshness) -> void;
-    auto onCheckResult(const std::variant<StoredChanges, StoreError>& result) -> void;
+    auto onCheckResult(const std::variant<StoredChanges, StoreError>& result, Freshness freshness) -> void;
     auto cancelWatch() -> void;
     auto pauseAfterFailure() -> void;
     auto pause(Duration time) -> void;
@@ -133,6 +136,7 @@
     TimePoint watchSentAt_; ///< Of the waiting watch.
     TimePoint nextCheck_; ///< Of the waiting watch.
     TimePoint answeredAt_; ///< When the last call that was answered had been sent, in bootNow() time.
+    Duration answerTime_ {}; ///< How long that answer took.
     KindRead lastRead_ = KindRead::List;
     KindCheckStats checkStats_;
     int failures_ = 0; ///< In a row.
@@ -142,7 +146,6 @@
     bool listWanted_ = false;
     bool watching_ = false;
     bool busy_ = false; ///< A call or a pause is under way.
-    bool checking_ = false;
     bool reachable_ = true;
     bool stopped_ = false;
 };
--- a/src/libsidecar/node_gauges.cpp
+++ b/src/libsidecar/node_gauges.cpp
@@ -44,6 +44,7 @@
     set(calls, static_cast<double>(store.reads_), { { "kind", "read" } });
     set(calls, static_cast<double>(store.watches_), { { "kind", "watch" } });
     set(calls, static_cast<double>(store.checks_), { { "kind", "check" } });
+    set(calls, static_cast<double>(store.staleChecks_), { { "kind", "stale_check" } });
     set(calls, static_cast<double>(store.writes_), { { "kind", "write" } });
     set({ "wagtailhead_store_failures", "Calls to the store that failed since the start." },
         static_cast<double>(store.failures_));
--- a/src/libsidecar/site_knowledge.cpp
+++ b/src/libsidecar/site_knowledge.cpp
@@ -19,7 +19,7 @@
 constexpr Duration nodeBatch = seconds(10);
 /// The same on a node that has stepped in for the watchers, to which the others may have sent their entries.
 constexpr Duration substituteNodeBatch = seconds(1);
-/// How often the waiting watch of the entries is checked.
+/// How often the waiting watch of the entries is checked. Nobody relies on what these checks do not find.
 constexpr Duration nodeCheckInterval = seconds(10);
 /// When all nodes start at once, each has published its entry after this time, most of them including the
 /// first report of the backend server.
@@ -74,6 +74,7 @@
 auto SiteState::start() -> void
 {
     const auto delay = options_.firstStart_ ? firstListDelay : Duration::zero();
+    firstListAt_ = bootNow() + delay;
     // The watchers of the zone send this node what a stale list of the nodes lacks. The configuration has to
     // be current after a restart: there may be no other node that has it.
     configurationWatch_->start(delay, options_.firstStart_ ? Freshness::MayBeStale : Freshness::Current);
@@ -528,6 +529,7 @@
     pace.patient_ = substitute;
     configurationWatch_->setPace(pace);
     pace.checkInterval_ = nodeCheckInterval;
+    pace.checkFreshness_ = Freshness::MayBeStale;
     pace.batch_ = substitute ? substituteNodeBatch : nodeBatch;
     nodeWatch_->setPace(pace);
 }
@@ -616,19 +618,21 @@
 auto SiteState::tick(TimePoint now) -> void
 {
     requestConfiguration(now);
-    configurationWatch_->tick(now);
-    nodeWatch_->tick(now);
+    nodeWatch_->check(now);
     if (!hasNodeList_) {
         return;
     }
     if (!roles_) {
-        roles_.emplace(options_.self_.node_, options_.self_.zone_, options_.applyBound_, bootNow());
+        roles_.emplace(options_.self_.node_, options_.self_.zone_, options_.applyBound_, firstListAt_);
     }
     if (now >= nextRoleCheck_) {
         nextRoleCheck_ = now + roleCheckInterval;
         refreshRoles();
     }
     updateRole();
+    if (watching_ && roles_->isReadDue(bootNow())) {
+        configurationWatch_->check(now);
+    }
     if (now >= nextStaleCheck_) {
         nextStaleCheck_ = now + staleCheckInterval;
         parts_.directory_.purge(now);
--- a/src/libsidecar/site_knowledge.h
+++ b/src/libsidecar/site_knowledge.h
@@ -160,6 +160,7 @@
     std::string heldLeaveId_; ///< Backend server whose leave another node holds.
     std::uint64_t heldLeaveBornMs_ = 0;
     std::uint64_t generation_ = 0; ///< Greatest generation seen of this node's entry.
+    TimePoint firstListAt_; ///< When the first lists were requested, in bootNow() time.
     bool hasNodeList_ = false;
     bool newMember_ = false;
     bool published_ = false;
--- a/src/libsidecar/watch_roles.cpp
+++ b/src/libsidecar/watch_roles.cpp
@@ -11,13 +11,14 @@
 
 /// Parts of the bound. Other nodes may step in until three quarters of it; the last quarter is for their
 /// reads.
-constexpr double checkShare = 0.25;
+constexpr double checkShare = 0.3;
+constexpr double checkStepShare = 0.15;
 constexpr double takeoverShare = 0.6;
 constexpr double takeoverStepShare = 0.05;
 constexpr double reliefShare = 2;
 /// The last group of nodes that steps in, counted from 0, has all nodes that are in none before.
 constexpr int lastGroup = 3;
-/// The answer of a waiting watch may be lost at any time, so it is not checked more rarely, whatever the
+/// The answer of a waiting watch may be lost at any time, so the store is not read more rarely, whatever the
 /// bound.
 constexpr Duration longestCheckInterval = seconds(2);
 /// Pauses between failed reads: of the regular watchers, and of the others for each node of the zone.
@@ -53,6 +54,7 @@
 auto watchTimesFor(Duration applyBound) -> WatchTimes
 {
     return { .check_ = std::min(partOf(applyBound, checkShare), longestCheckInterval),
+        .checkStep_ = partOf(applyBound, checkStepShare),
         .takeover_ = partOf(applyBound, takeoverShare),
         .takeoverStep_ = partOf(applyBound, takeoverStepShare),
         .slowRead_ = partOf(applyBound, takeoverShare / 2),
@@ -60,11 +62,11 @@
         .retry_ = applyBound };
 }
 
-WatchRoles::WatchRoles(std::string node, std::string zone, Duration applyBound, TimePoint now)
+WatchRoles::WatchRoles(std::string node, std::string zone, Duration applyBound, TimePoint since)
     : node_(std::move(node))
     , zone_(std::move(zone))
     , times_(watchTimesFor(applyBound))
-    , knownUntil_(now)
+    , knownUntil_(since)
 {
 }
 
@@ -114,13 +116,12 @@
     return lastRead_ && *lastRead_ >= steppedIn_;
 }
 
-auto WatchRoles::earlierNodesHaveRead(TimePoint since, std::uint64_t version) const -> bool
+auto WatchRoles::earlierNodeHasRead(TimePoint since, std::uint64_t version) const -> bool
 {
-    const auto found = std::count_if(earlier_.begin(), earlier_.end(), [&](const std::string& node) {
+    return std::any_of(earlier_.begin(), earlier_.end(), [&](const std::string& node) {
         const auto heard = heard_.find(node);
         return heard != heard_.end() && heard->second.version_ >= version && heard->second.readAt_ > since;
     });
-    return static_cast<std::size_t>(found) >= watchersPerZone;
 }
 
 auto WatchRoles::takeoverDelay() const -> Duration
@@ -137,6 +138,11 @@
                        : std::max(times_.retry_, retryPausePerNode * static_cast<int>(zoneSize_));
 }
 
+auto WatchRoles::isReadDue(TimePoint now) const -> bool
+{
+    return now - knownUntil_ >= times_.check_ + (rank_ == 0 ? Duration::zero() : times_.checkStep_);
+}
+
 auto WatchRoles::shouldWatch(std::uint64_t version, TimePoint now) -> bool
 {
     for (const auto& [node, status] : heard_) {
@@ -145,7 +151,7 @@
             knownUntil_ = std::max(knownUntil_, status.readAt_);
         }
     }
-    if (!earlierNodesHaveRead(now - times_.takeover_, version)) {
+    if (!earlierNodeHasRead(now - times_.takeover_, version)) {
         relievedSince_.reset();
     } else if (!relievedSince_) {
         relievedSince_ = now;
@@ -157,7 +163,7 @@
         steppedIn_ = now;
     } else if (!hasReadSinceTakeover()) {
         watching_ = !isFresh(knownUntil_, now);
-    } else if (readTime_ > times_.slowRead_ && earlierNodesHaveRead(*lastRead_ - readTime_, version)) {
+    } else if (readTime_ > times_.slowRead_ && earlierNodeHasRead(*lastRead_ - readTime_, version)) {
         watching_ = false; // The store is slow for all.
     } else {
         watching_ = !relievedSince_ || now - *relievedSince_ < times_.relief_;
--- a/src/libsidecar/watch_roles.h
+++ b/src/libsidecar/watch_roles.h
@@ -11,7 +11,8 @@
 
 namespace wagtailhead {
 
-/// The nodes of each zone that watch as long as they reach the store.
+/// The nodes of each zone that watch as long as they reach the store. One of them reads the store for the
+/// zone; the other one does when that one does not.
 constexpr std::size_t watchersPerZone = 2;
 /// How often the nodes that watch send heartbeats to the others of their zone, at least.
 constexpr Duration watchHeartbeatInterval = seconds(1);
@@ -23,11 +24,12 @@
 
 /// The times of watching the store, as parts of the time in which every node has to follow it.
 struct WatchTimes {
-    Duration check_ {}; ///< Between checks of a waiting watch.
+    Duration check_ {}; ///< Age of the last read from which on the first watcher reads the store again.
+    Duration checkStep_ {}; ///< So much later the others that watch do.
     Duration takeover_ {}; ///< Age of the last read from which on other nodes step in.
     Duration takeoverStep_ {}; ///< Between the groups of nodes that step in.
     Duration slowRead_ {}; ///< Reads that take longer cannot keep the last read younger than `takeover_`.
-    Duration relief_ {}; ///< How long the watchers before a node that has stepped in must have been fresh.
+    Duration relief_ {}; ///< How long a watcher before a node that has stepped in must have been fresh.
     Duration retry_ {}; ///< Between failed reads of a node that has stepped in, at least.
 };
 
@@ -41,16 +43,18 @@
     std::uint64_t version_ = 0; ///< Of its configuration.
 };
 
-/// Decides whether this node watches the store itself. The first nodes of each zone do, and send the others a
-/// heartbeat with each read. A node whose last read, own or from a heartbeat, is too old steps in and reads
-/// the store itself: the next nodes of the zone first, then more, and in the end each on its own. So a change
-/// is followed in time whichever nodes are cut off and however long they take to notice. Those that have
-/// stepped in watch until enough of the nodes before them have reached the store for a while, or as well as
-/// they do themselves where the store is slow for all. All times are in bootNow() time. Not thread safe.
+/// Decides whether this node watches the store itself, and when it reads it. The first nodes of each zone
+/// watch. That brings changes at once, but a watch that waits tells nothing of the store, so one of them
+/// reads it at intervals and sends the others a heartbeat with each read. A node whose last read, own or from
+/// a heartbeat, is too old steps in and reads the store itself: the next nodes of the zone first, then more,
+/// and in the end each on its own. So a change is followed in time whichever nodes are cut off, whichever
+/// answers are lost, and however long that takes to notice. Those that have stepped in watch until a node
+/// before them has reached the store for a while, or as well as they do themselves where the store is slow
+/// for all. All times are in bootNow() time. Not thread safe.
 class WatchRoles {
 public:
-    /// The node counts as up to date at `now`.
-    WatchRoles(std::string node, std::string zone, Duration applyBound, TimePoint now);
+    /// The node begins to wait for heartbeats at `since`, as if it had all that the store had confirmed then.
+    WatchRoles(std::string node, std::string zone, Duration applyBound, TimePoint since);
 
     /// Precondition: the bound is positive.
     auto setApplyBound(Duration applyBound) -> void;
@@ -68,6 +72,9 @@
     /// so.
     auto shouldWatch(std::uint64_t version, TimePoint now) -> bool;
 
+    /// Returns whether this node, which watches, is to read the store now. `now` is that of shouldWatch().
+    auto isReadDue(TimePoint now) const -> bool;
+
     /// Returns whether this node is one of those that watch while all is calm.
     auto isRegular() const -> bool
     {
@@ -95,8 +102,8 @@
 private:
     auto isFresh(TimePoint readAt, TimePoint now) const -> bool;
     auto hasReadSinceTakeover() const -> bool;
-    /// Returns whether enough nodes before this one have read the store since then.
-    auto earlierNodesHaveRead(TimePoint since, std::uint64_t version) const -> bool;
+    /// Returns whether a node before this one has read the store since then.
+    auto earlierNodeHasRead(TimePoint since, std::uint64_t version) const -> bool;
     auto takeoverDelay() const -> Duration;
 
     std::string node_;
